--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"cinderhatch/brain"
+	"olivebridge/brain"
 )
 
 // node embeds a Balancer: it carries out what the Balancer decides. A real one
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -10,8 +10,8 @@
 	"runtime/debug"
 	"time"
 
-	"cinderhatch/brain"
-	"cinderhatch/internal/wire"
+	"olivebridge/brain"
+	"olivebridge/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"cinderhatch/brain"
+	"olivebridge/brain"
 )
 
 // parser reads path=value pairs and keeps the first fault.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"cinderhatch/brain"
+	"olivebridge/brain"
 )
 
 // Sizes of the fixed parts of a frame.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"cinderhatch/brain"
+	"olivebridge/brain"
 )
 
 // unhex reads hex words; a word +N stands for N zero bytes.
