--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"olivebridge/brain"
+	"olivebridge/internal/settings"
 	"olivebridge/internal/wire"
 )
 
@@ -89,7 +90,7 @@
 	}
 	i := &instance{who: who, reply: &h.reply}
 	h.instances[who] = i
-	set, err := wire.ParseSettings(text)
+	set, err := settings.ParseText(text)
 	if err == nil {
 		i.brain, err = brain.New(set, e.Ref(), h.frame.Clock, i)
 	}
--- /dev/null
+++ b/cmd/olivebridge/main.go
@@ -0,0 +1,92 @@
+// Command olivebridge is one load-balancing node on real sockets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"olivebridge/internal/protocol"
+	"olivebridge/internal/routing"
+	"olivebridge/internal/transport"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "olivebridge:", err)
+		os.Exit(1)
+	}
+}
+
+// run is one node's life, from its environment to the planned end.
+func run() error {
+	c, err := protocol.Load(os.Getenv, os.ReadFile)
+	if err != nil {
+		return err
+	}
+	setLimits(c)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	out := newLogWriter(os.Stderr)
+	defer out.Close()
+	log := slog.New(slog.NewTextHandler(out, nil))
+
+	descriptors := max((c.Sockets-spareDescriptors)/2, 8)
+	carrier := transport.NewCarrier(transport.CarrierConfig{
+		ConnectTimeout: c.ConnectTimeout, IdleClose: c.IdleClose, DrainGrace: c.Settings.DrainGrace,
+		MaxConns: descriptors, Log: log,
+	})
+	router := routing.New(routing.Config{
+		Settings: c.Settings, Seed: c.Seed, Known: c.Known, Carrier: carrier,
+		Watcher: transport.NewWatch(c.Discovery, c.Names, c.KnownVersion), Log: log,
+	})
+	front := transport.NewFront(listener, c.Names, router, descriptors, log)
+
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan error, 2)
+	go func() { ended <- router.Run(ctx) }()
+	go func() { ended <- front.Serve() }()
+	counters := func(when string) {
+		log.Info("counters", "when", when, "malformed", front.Malformed(), "calls", router.Counters().String())
+	}
+	log.Info("started", "name", c.Name, "listen", c.Listen, "peers", len(c.Known.Entries), "version", c.KnownVersion)
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				counters("asked")
+				continue
+			}
+			log.Info("draining", "signal", s.String())
+			front.Drain(c.LongestDeadline)
+			carrier.Close()
+			counters("exit")
+			return nil
+		case err := <-ended:
+			counters("failure")
+			return err
+		}
+	}
+}
+
+// spareDescriptors are kept for discovery, the log and the runtime.
+const spareDescriptors = 64
+
+// setLimits keeps the node within its machine. Memory gets a margin for what
+// the Go runtime does not count.
+func setLimits(c *protocol.Config) {
+	runtime.GOMAXPROCS(max(int(c.Cores), 1))
+	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 7 / 10)
+	debug.SetGCPercent(400)
+}
--- /dev/null
+++ b/internal/protocol/call.go
@@ -0,0 +1,93 @@
+package protocol
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"olivebridge/internal/routing"
+)
+
+// maxBudget bounds a budget, so that sums with it cannot overflow.
+const maxBudget = time.Hour
+
+// Names are the places of names in the settings' lists.
+type Names struct {
+	Classes, Callers, Zones, Kinds map[string]int
+}
+
+// ParseCall reads from the head of a request what decisions need. header gives
+// a header's values, query is the raw query. Any error deserves a plain 4xx
+// answer and no try.
+func (n Names) ParseCall(header func(name string) []string, query string) (routing.Call, error) {
+	fields := map[string]string{}
+	for _, name := range []string{HeaderID, HeaderClass, HeaderCaller, HeaderBudget, HeaderAgain} {
+		switch v := header(name); {
+		case len(v) > 1:
+			return routing.Call{}, fmt.Errorf("%s: given %d times", name, len(v))
+		case len(v) == 1:
+			fields[name] = v[0]
+		}
+	}
+	if fields[HeaderID] == "" {
+		return routing.Call{}, fmt.Errorf("%s: missing", HeaderID)
+	}
+	class, ok := n.Classes[fields[HeaderClass]]
+	if !ok {
+		return routing.Call{}, fmt.Errorf("%s: missing or unknown: %q", HeaderClass, fields[HeaderClass])
+	}
+	tenant := -1
+	if len(n.Callers) > 0 {
+		if tenant, ok = n.Callers[fields[HeaderCaller]]; !ok {
+			return routing.Call{}, fmt.Errorf("%s: missing or unknown: %q", HeaderCaller, fields[HeaderCaller])
+		}
+	}
+	budget, err := ParseBudget(fields[HeaderBudget])
+	if err != nil {
+		return routing.Call{}, err
+	}
+	key, err := keyOf(query)
+	if err != nil {
+		return routing.Call{}, err
+	}
+	return routing.Call{
+		Class: class, Tenant: tenant, Key: key, Repeat: fields[HeaderAgain] == "1", Budget: budget,
+	}, nil
+}
+
+// ParseBudget reads a time in seconds with decimals: digits and at most one
+// point, above zero.
+func ParseBudget(s string) (time.Duration, error) {
+	bad := strings.IndexFunc(s, func(c rune) bool { return (c < '0' || c > '9') && c != '.' })
+	v, err := strconv.ParseFloat(s, 64)
+	if bad >= 0 || err != nil || v <= 0 || v > maxBudget.Seconds() {
+		return 0, fmt.Errorf("%s: missing or malformed: %q", HeaderBudget, s)
+	}
+	return time.Duration(v * float64(time.Second)), nil
+}
+
+// FormatSeconds writes a time as seconds with decimals, and never as less than
+// a millisecond.
+func FormatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(max(d, time.Millisecond).Seconds(), 'f', 3, 64)
+}
+
+// keyOf hashes the key that a raw query carries; 0 means none.
+func keyOf(query string) (uint64, error) {
+	for query != "" {
+		var pair string
+		pair, query, _ = strings.Cut(query, "&")
+		name, value, _ := strings.Cut(pair, "=")
+		if name != KeyParameter || value == "" {
+			continue
+		}
+		plain, err := url.QueryUnescape(value) // one key has one hash, however it is escaped
+		if err != nil {
+			return 0, fmt.Errorf("%s: malformed: %q", KeyParameter, value)
+		}
+		return hash(plain), nil
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/internal/protocol/config.go
@@ -0,0 +1,145 @@
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"olivebridge/brain"
+	"olivebridge/internal/routing"
+	"olivebridge/internal/settings"
+)
+
+// The variables that tell a node what it is.
+const (
+	EnvName      = "ROUTER_NAME"
+	EnvListen    = "ROUTER_LISTEN"
+	EnvDiscovery = "ROUTER_DISCOVERY"
+	EnvConfig    = "ROUTER_CONFIG"
+)
+
+// Config is what one node is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Settings                brain.Settings
+	Names                   Names
+	ConnectTimeout          time.Duration // of a new connection to a peer
+	IdleClose               time.Duration // peers close a connection idle for this long
+	LongestDeadline         time.Duration
+	Known                   routing.Group
+	KnownVersion            int64
+}
+
+type named struct {
+	Name string `json:"name"`
+}
+
+type configJSON struct {
+	Seed   string `json:"seed"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+type settingsJSON struct {
+	Classes []named  `json:"classes"`
+	Tenants []named  `json:"tenants"`
+	Zones   []string `json:"zones"`
+	Kinds   []string `json:"kinds"`
+	Limits  struct {
+		ConnectTimeout time.Duration `json:"connect_timeout"`
+		IdleClose      time.Duration `json:"idle_close"`
+	} `json:"limits"`
+}
+
+// Load reads a node's configuration from its environment and the file that
+// this names.
+func Load(getenv func(string) string, readFile func(string) ([]byte, error)) (*Config, error) {
+	c := &Config{}
+	var path string
+	for _, v := range []struct {
+		name    string
+		to      *string
+		address bool
+	}{{EnvName, &c.Name, false}, {EnvListen, &c.Listen, true}, {EnvDiscovery, &c.Discovery, true},
+		{EnvConfig, &path, false}} {
+		if *v.to = getenv(v.name); *v.to == "" {
+			return nil, fmt.Errorf("variable %s is missing", v.name)
+		}
+		if !v.address {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(*v.to); err != nil {
+			return nil, fmt.Errorf("variable %s: %w", v.name, err)
+		}
+	}
+	data, err := readFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if err := c.parse(data); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return c, nil
+}
+
+func (c *Config) parse(data []byte) error {
+	var in configJSON
+	if err := json.Unmarshal(data, &in); err != nil {
+		return err
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
+		return fmt.Errorf("seed: %w", err)
+	}
+	c.Cores, c.MemoryMB, c.Sockets = in.Limits.Cores, in.Limits.MemoryMB, in.Limits.Sockets
+	if c.Cores <= 0 || c.MemoryMB <= 0 || c.Sockets <= 0 {
+		return errors.New("limits: cores, memory_mb or sockets missing")
+	}
+	if c.Settings, err = settings.DecodeJSON(in.Settings); err != nil {
+		return err
+	}
+	var set settingsJSON
+	if err := json.Unmarshal(in.Settings, &set); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	c.ConnectTimeout, c.IdleClose = set.Limits.ConnectTimeout, set.Limits.IdleClose
+	if c.ConnectTimeout <= 0 || c.IdleClose <= 0 {
+		return errors.New("settings: limits.connect_timeout or limits.idle_close missing")
+	}
+	c.Names = Names{Classes: map[string]int{}, Callers: map[string]int{}, Zones: places(set.Zones), Kinds: places(set.Kinds)}
+	for i, class := range set.Classes {
+		c.Names.Classes[class.Name] = i
+		c.LongestDeadline = max(c.LongestDeadline, c.Settings.Classes[i].Deadline)
+	}
+	for i, tenant := range set.Tenants {
+		c.Names.Callers[tenant.Name] = i
+	}
+	if len(c.Names.Classes) != len(set.Classes) || len(c.Names.Callers) != len(set.Tenants) {
+		return errors.New("settings: a class's or tenant's name stands twice")
+	}
+	if len(in.Known) > 0 {
+		if c.Known, c.KnownVersion, err = c.Names.ParseGroup(in.Known); err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+	}
+	return nil
+}
+
+func places(names []string) map[string]int {
+	at := map[string]int{}
+	for i, name := range names {
+		at[name] = i
+	}
+	return at
+}
--- /dev/null
+++ b/internal/routing/admit.go
@@ -0,0 +1,35 @@
+package routing
+
+import (
+	"context"
+
+	"olivebridge/brain"
+)
+
+// entry is an open call in the table.
+type entry struct {
+	Call
+	id       brain.RequestID
+	answer   chan Answer // holds one; nil once it is given
+	deadline brain.Time
+	tries    []context.CancelCauseFunc // by attempt; nil once its outcome is in
+	out      int
+}
+
+// admitEvent is the second stage: the call enters the table and the Balancer
+// decides.
+type admitEvent struct{ e *entry }
+
+func (a admitEvent) call() brain.RequestID { return a.e.id }
+
+func (a admitEvent) handle(r *Router) {
+	e, now := a.e, r.now()
+	r.lastID++
+	e.id = r.lastID
+	e.deadline = brain.Time(e.Arrived.Sub(r.start)) + brain.Time(r.start.UnixNano()) + brain.Time(e.Budget-answerMargin)
+	r.open[e.id] = e
+	r.brain.Request(now, brain.Request{
+		ID: e.id, Budget: max(0, brainLeft(e.deadline, now)), Key: e.Key,
+		Class: e.Class, Tenant: e.Tenant, Repeat: e.Repeat,
+	})
+}
--- /dev/null
+++ b/internal/routing/call.go
@@ -0,0 +1,75 @@
+// Package routing takes calls through the stages of a node: take in, admit,
+// route, send, relay, book. One goroutine, Run, owns the Balancer and the table
+// of open calls; everything else reaches it as an event on a channel.
+//
+// The package knows no HTTP. A front hands calls to Take and gets one answer
+// for each; a Carrier brings tries and probes to peers; a Watcher follows the
+// upstream group. Another front, or another carrier, passes the same stages.
+package routing
+
+import (
+	"context"
+	"time"
+
+	"olivebridge/brain"
+)
+
+// Call is a client's request, reduced to what decisions need. The rest stays
+// as it came, in Payload, and goes on to the carrier unread.
+type Call struct {
+	Class, Tenant int
+	Key           uint64 // 0: none
+	Repeat        bool
+	Arrived       time.Time     // when its last byte came
+	Budget        time.Duration // how long its client waits from then on
+	Payload       any
+}
+
+// Verdict says how a call was answered.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served  Verdict = iota // with a peer's answer, in Reply
+	Reject                 // not run: trying again is harmless
+	Failed                 // no promise
+	Overdue                // no promise, and its time was up
+)
+
+func (v Verdict) String() string {
+	return [...]string{"served", "reject", "failed", "overdue"}[v]
+}
+
+// Answer is the one final answer to a call.
+type Answer struct {
+	Verdict    Verdict
+	RetryAfter time.Duration // with Reject: when to come back; 0: no advice
+	Reply      any           // with Served: the carrier's, unchanged
+}
+
+// Try is one attempt at a call, on its way to a peer.
+type Try struct {
+	Peer    *Peer
+	Until   time.Time // the carrier stops waiting then
+	Payload any
+}
+
+// TryResult is how a try ended.
+type TryResult struct {
+	Result brain.Result
+	Reply  any // with brain.OK
+}
+
+// Carrier brings tries and probes to peers. Its methods block until the end is
+// known, at the latest at the context's end; each is called on a goroutine of
+// its own. A result that says "never ran" must rest on proof.
+type Carrier interface {
+	Try(ctx context.Context, t Try) TryResult
+	Probe(ctx context.Context, p *Peer) brain.Result
+}
+
+// Watcher follows the upstream group until ctx ends or the watch breaks. It
+// hands every list that comes to told, and returns why it stopped.
+type Watcher interface {
+	Watch(ctx context.Context, told func(Group)) error
+}
--- /dev/null
+++ b/internal/routing/group.go
@@ -0,0 +1,139 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"olivebridge/brain"
+)
+
+// Entry is one peer as the upstream group lists it.
+type Entry struct {
+	brain.Server
+	Name, Addr string
+}
+
+// Group is a list of the upstream group, or of its changes.
+type Group struct {
+	Kind    brain.ListKind
+	Entries []Entry
+	At      time.Time // when it arrived
+}
+
+// Peer is a server that the upstream group has named. Its fields but the
+// leaving mark never change: a new address makes a new Peer.
+type Peer struct {
+	ID         brain.ServerID
+	Name, Addr string
+	leaving    *atomic.Int64 // when it was told to leave, in UnixNano; 0: it stays
+}
+
+// NewPeer makes a peer that stays.
+func NewPeer(id brain.ServerID, name, addr string) *Peer {
+	return &Peer{ID: id, Name: name, Addr: addr, leaving: new(atomic.Int64)}
+}
+
+// OpenFor reports whether the first byte of a new try may still leave at now.
+// It guards the drain rule against tries that waited for a connection while the
+// list changed; half of the grace is left as a margin for the way there.
+func (p *Peer) OpenFor(now time.Time, grace time.Duration) bool {
+	told := p.leaving.Load()
+	return told == 0 || now.UnixNano()-told <= int64(grace/2)
+}
+
+// listEvent brings a list, or the news that a watch broke.
+type listEvent struct {
+	group Group
+	err   error
+}
+
+func (e listEvent) handle(r *Router) {
+	if e.err != nil {
+		r.watching = false
+		r.count.WatchFailures.Add(1)
+		r.log.Warn("upstream group watch ended", "reason", e.err.Error())
+		r.brain.List(r.now(), brain.Failed, nil)
+		return
+	}
+	r.count.Lists.Add(1)
+	r.learn(e.group)
+}
+
+// learn takes over addresses and leaving marks, then tells the Balancer.
+func (r *Router) learn(g Group) {
+	servers := make([]brain.Server, 0, len(g.Entries))
+	named := map[brain.ServerID]bool{}
+	for _, e := range g.Entries {
+		named[e.ID] = true
+		p := r.peers[e.ID]
+		switch {
+		case p == nil:
+			p = NewPeer(e.ID, e.Name, e.Addr)
+		case p.Addr != e.Addr && e.Addr != "":
+			p = &Peer{ID: e.ID, Name: e.Name, Addr: e.Addr, leaving: p.leaving}
+		}
+		r.peers[e.ID] = p
+		p.mark(e.State == brain.Ready || e.State == brain.Gone && r.set.DroppedStay, g.At)
+		servers = append(servers, e.Server)
+	}
+	if g.Kind != brain.Delta {
+		for id, p := range r.peers {
+			if !named[id] {
+				p.mark(r.set.DroppedStay, g.At)
+			}
+		}
+	}
+	r.brain.List(r.now(), g.Kind, servers)
+}
+
+// mark notes from when on a peer leaves; the first telling counts.
+func (p *Peer) mark(stays bool, at time.Time) {
+	if stays {
+		p.leaving.Store(0)
+	} else {
+		p.leaving.CompareAndSwap(0, at.UnixNano())
+	}
+}
+
+// Watch implements brain.Host: it starts the watch unless one runs.
+func (r *Router) Watch() {
+	if r.watching {
+		return
+	}
+	r.watching = true
+	r.spawn(func(ctx context.Context) {
+		err := r.watcher.Watch(ctx, func(g Group) { r.post(listEvent{group: g}) })
+		if err == nil {
+			err = fmt.Errorf("no reason given")
+		}
+		if ctx.Err() == nil {
+			r.post(listEvent{err: err})
+		}
+	}, func() { r.post(listEvent{err: fmt.Errorf("panic in the watch")}) })
+}
+
+// probeEvent brings a probe's result.
+type probeEvent struct{ result brain.ProbeResult }
+
+func (e probeEvent) handle(r *Router) {
+	if e.result.Result != brain.OK {
+		r.count.ProbesFailed.Add(1)
+	}
+	r.brain.Probed(r.now(), e.result)
+}
+
+// Probe implements brain.Host.
+func (r *Router) Probe(to brain.ServerID) {
+	p := r.peers[to]
+	if p == nil {
+		return
+	}
+	r.count.Probes.Add(1)
+	start := time.Now()
+	done := func(res brain.Result) {
+		r.post(probeEvent{brain.ProbeResult{Server: to, Latency: time.Since(start), Result: res}})
+	}
+	r.spawn(func(ctx context.Context) { done(r.carrier.Probe(ctx, p)) }, func() { done(brain.Reset) })
+}
--- /dev/null
+++ b/internal/routing/relay.go
@@ -0,0 +1,77 @@
+package routing
+
+import (
+	"time"
+
+	"olivebridge/brain"
+)
+
+// outcomeEvent is the fifth stage: a try is over. A served one is relayed
+// before the Balancer hears of it, so that it knows the call is closed.
+type outcomeEvent struct {
+	brain.Outcome
+	reply any
+}
+
+func (o outcomeEvent) call() brain.RequestID { return o.ID }
+
+func (o outcomeEvent) handle(r *Router) {
+	e := r.open[o.ID]
+	if e == nil || e.tries[o.Attempt] == nil {
+		return
+	}
+	e.tries[o.Attempt](nil) // frees the context
+	e.tries[o.Attempt] = nil
+	e.out--
+	r.count.outcome(o.Result)
+	if o.Result == brain.OK {
+		r.relay(e, Answer{Verdict: Served, Reply: o.reply})
+	}
+	o.Closed = e.answer == nil
+	defer r.book(e)
+	r.brain.Outcome(r.now(), o.Outcome)
+}
+
+// relay gives a call its one answer. Outcome, hang-up and deadline may race:
+// only the first counts.
+func (r *Router) relay(e *entry, a Answer) {
+	if e.answer == nil {
+		return
+	}
+	e.answer <- a // never waits: it has room for one
+	e.answer = nil
+}
+
+// Refuse implements brain.Host. The answer leaves at once.
+func (r *Router) Refuse(id brain.RequestID, after time.Duration) {
+	if e := r.open[id]; e != nil {
+		r.relay(e, Answer{Verdict: Reject, RetryAfter: after})
+		r.book(e)
+	}
+}
+
+// Fail implements brain.Host. The answer leaves at once.
+func (r *Router) Fail(id brain.RequestID) {
+	if e := r.open[id]; e != nil {
+		v := Failed
+		if r.now() >= e.deadline {
+			v = Overdue
+		}
+		r.relay(e, Answer{Verdict: v})
+		r.book(e)
+	}
+}
+
+// hangUpEvent tells that nobody waits for the call any more.
+type hangUpEvent struct{ e *entry }
+
+func (h hangUpEvent) call() brain.RequestID { return h.e.id }
+
+func (h hangUpEvent) handle(r *Router) {
+	if r.open[h.e.id] != h.e {
+		return
+	}
+	h.e.answer = nil
+	defer r.book(h.e)
+	r.brain.HangUp(r.now(), h.e.id)
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,151 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"olivebridge/brain"
+)
+
+// queueLength is how many events may wait for the decision goroutine. It is
+// above what one core answers within the shortest budget.
+const queueLength = 4096
+
+// Config is what a Router is made from.
+type Config struct {
+	Settings brain.Settings
+	Seed     uint64
+	Known    Group // the list as this node had it last; maybe old
+	Carrier  Carrier
+	Watcher  Watcher
+	Log      *slog.Logger // must not block
+}
+
+// event is something the decision goroutine has to take in.
+type event interface{ handle(r *Router) }
+
+// Router owns a Balancer and is its Host. All fields below events belong to
+// the goroutine of Run.
+type Router struct {
+	set     brain.Settings
+	seed    uint64
+	known   Group
+	carrier Carrier
+	watcher Watcher
+	log     *slog.Logger
+	count   *Counters
+	start   time.Time
+	events  chan event
+	stopped chan struct{}
+
+	ctx      context.Context
+	brain    *brain.Balancer
+	peers    map[brain.ServerID]*Peer
+	open     map[brain.RequestID]*entry
+	lastID   brain.RequestID
+	watching bool
+}
+
+// New makes a Router; Run starts its decisions.
+func New(c Config) *Router {
+	return &Router{
+		set: c.Settings, seed: c.Seed, known: c.Known, carrier: c.Carrier, watcher: c.Watcher, log: c.Log,
+		count: new(Counters), start: time.Now(), events: make(chan event, queueLength),
+		stopped: make(chan struct{}), peers: map[brain.ServerID]*Peer{}, open: map[brain.RequestID]*entry{},
+	}
+}
+
+// Counters are safe to read at any time.
+func (r *Router) Counters() *Counters { return r.count }
+
+// now is the Balancer's time: the wall clock at the start, run on by the
+// monotonic clock, so that it never goes back and peers' starts compare with it.
+func (r *Router) now() brain.Time {
+	return brain.Time(r.start.UnixNano()) + brain.Time(time.Since(r.start))
+}
+
+// instant turns the Balancer's time into the clock's.
+func (r *Router) instant(t brain.Time) time.Time {
+	return r.start.Add(time.Duration(t - brain.Time(r.start.UnixNano())))
+}
+
+// Run makes the decisions until ctx ends. It returns an error only when the
+// Balancer cannot be made.
+func (r *Router) Run(ctx context.Context) error {
+	defer close(r.stopped)
+	r.ctx = ctx
+	var err error
+	if r.brain, err = brain.New(r.set, r.seed, r.now(), r); err != nil {
+		return fmt.Errorf("routing: %w", err)
+	}
+	r.known.At = time.Now()
+	r.known.Kind = brain.Cached
+	r.learn(r.known)
+	for {
+		select {
+		case e := <-r.events:
+			r.guard(e)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// guard keeps a panic over one event from ending the node: every other call
+// would be lost with it. The calls it may have touched answer by their deadline.
+func (r *Router) guard(e event) {
+	defer func() {
+		if p := recover(); p != nil {
+			r.count.Panics.Add(1)
+			r.log.Error("panic", "in", fmt.Sprintf("%T", e), "value", fmt.Sprint(p), "stack", string(debug.Stack()))
+			if a, ok := e.(concerned); ok {
+				r.abandon(a.call())
+			}
+		}
+	}()
+	e.handle(r)
+}
+
+// concerned is an event about one call, which fails if the event panics.
+type concerned interface{ call() brain.RequestID }
+
+// post hands an event to the decision goroutine; it may wait, so that
+// goroutine itself never calls it.
+func (r *Router) post(e event) {
+	select {
+	case r.events <- e:
+	case <-r.stopped:
+	}
+}
+
+// spawn runs f beside the decisions; on a panic, instead calls failed, so that
+// whoever waits for the outcome gets one.
+func (r *Router) spawn(f func(context.Context), failed func()) {
+	ctx := r.ctx
+	go func() {
+		defer func() {
+			if p := recover(); p != nil {
+				r.count.Panics.Add(1)
+				r.log.Error("panic", "in", "task", "value", fmt.Sprint(p), "stack", string(debug.Stack()))
+				failed()
+			}
+		}()
+		f(ctx)
+	}()
+}
+
+// wakeEvent is a timer of the Balancer's.
+type wakeEvent uint64
+
+func (e wakeEvent) handle(r *Router) { r.brain.Wake(r.now(), uint64(e)) }
+
+// SetTimer implements brain.Host.
+func (r *Router) SetTimer(d time.Duration, ref uint64) {
+	time.AfterFunc(d, func() { r.post(wakeEvent(ref)) })
+}
+
+// Log implements brain.Host.
+func (r *Router) Log(line string) { r.log.Info("decision", "line", line) }
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,11 @@
-package wire
+// Package settings decodes the settings of an instance. Both fronts use it: the
+// simulator's wire, which has them as lines of path=value, and the real node,
+// which has them as nested JSON.
+package settings
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"math"
 	"strconv"
@@ -93,19 +98,25 @@
 	return v
 }
 
-// ParseSettings reads the settings of an instance. Unknown keys are passed
+// ParseText reads settings written one path=value a line.
+func ParseText(text []byte) (brain.Settings, error) {
+	pairs := map[string]string{}
+	for line := range strings.Lines(string(text)) {
+		if k, v, ok := strings.Cut(strings.TrimRight(line, "\r\n"), "="); ok {
+			pairs[k] = v
+		}
+	}
+	return Decode(pairs)
+}
+
+// Decode reads settings from their paths and values. Unknown keys are passed
 // over. Optional are tenants (none), classes[].aim_stretch (0),
 // contract.dropped_stay_open (false),
 // classes[].serial_by_key (false), contract.settle_after_doubt (0), over_share_worth (1) and ask_every,
 // which is needed only where the list must be asked for. extra.warm_keys and
 // extra.passes_deadline are not read: the module always keeps keys to their servers, and uses neither.
-func ParseSettings(text []byte) (brain.Settings, error) {
-	p := &parser{pairs: map[string]string{}}
-	for line := range strings.Lines(string(text)) {
-		if k, v, ok := strings.Cut(strings.TrimRight(line, "\r\n"), "="); ok {
-			p.pairs[k] = v
-		}
-	}
+func Decode(pairs map[string]string) (brain.Settings, error) {
+	p := &parser{pairs: pairs}
 	s := brain.Settings{
 		Nodes:          int(min(p.number("n_instances"), maxItems)),
 		WorthByWork:    choice(p, "worth_by", map[string]bool{"work": true, "request": false}),
@@ -159,3 +170,46 @@
 	}
 	return s, p.err
 }
+
+// DecodeJSON reads settings written as one nested JSON object, with the names
+// and units of the text.
+func DecodeJSON(data []byte) (brain.Settings, error) {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber() // nanoseconds keep every digit
+	var tree map[string]any
+	if err := d.Decode(&tree); err != nil {
+		return brain.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	pairs := map[string]string{}
+	flatten(pairs, "", tree)
+	return Decode(pairs)
+}
+
+// flatten writes a JSON value as the text has it: a list of objects by its
+// length and places, a list of plain values with commas.
+func flatten(pairs map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, item := range v {
+			flatten(pairs, strings.TrimPrefix(path+"."+k, "."), item)
+		}
+	case []any:
+		var plain []string
+		for i, item := range v {
+			if _, object := item.(map[string]any); object {
+				flatten(pairs, path+"."+strconv.Itoa(i), item)
+				pairs[path+".count"] = strconv.Itoa(len(v))
+			} else {
+				plain = append(plain, plainText(item))
+			}
+		}
+		pairs[path] = strings.Join(plain, ",")
+	default:
+		pairs[path] = plainText(v)
+	}
+}
+
+// plainText writes a plain value; a space or comma within it becomes "_".
+func plainText(v any) string {
+	return strings.NewReplacer(" ", "_", ",", "_").Replace(fmt.Sprint(v))
+}
--- /dev/null
+++ b/internal/transport/front.go
@@ -0,0 +1,166 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"olivebridge/internal/protocol"
+	"olivebridge/internal/routing"
+)
+
+// How a planned end goes; see Front.Drain.
+const (
+	drainKeep   = 500 * time.Millisecond // new connections keep coming for up to 0.4 s
+	drainAccept = 800 * time.Millisecond // calls that come within 0.7 s are still owed an answer
+	drainSpare  = 600 * time.Millisecond // beyond the longest deadline; the kill comes 0.7 s beyond
+	drainMost   = 3 * time.Second        // a longer deadline counts as this
+)
+
+// Taker takes calls: routing's first stage.
+type Taker interface {
+	Take(ctx context.Context, c routing.Call) (a routing.Answer, ok bool)
+}
+
+// Front is the HTTP server that client connections reach.
+type Front struct {
+	names   protocol.Names
+	taker   Taker
+	log     *slog.Logger
+	server  *http.Server
+	clients *clients
+	leaving atomic.Bool
+	badly   atomic.Int64 // requests answered with a plain 4xx
+}
+
+// NewFront makes a front for at most maxClients client connections on l.
+func NewFront(l net.Listener, names protocol.Names, taker Taker, maxClients int, log *slog.Logger) *Front {
+	f := &Front{names: names, taker: taker, log: log, clients: newClients(l, maxClients, log)}
+	f.server = &http.Server{
+		Handler:           f,
+		ConnState:         f.clients.state,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		ReadHeaderTimeout: 10 * time.Second,
+		ReadTimeout:       20 * time.Second,
+		IdleTimeout:       5 * time.Minute,
+	}
+	return f
+}
+
+// Serve serves until Drain or Close.
+func (f *Front) Serve() error {
+	if err := f.server.Serve(f.clients); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("front: %w", err)
+	}
+	return nil
+}
+
+// Malformed counts the requests answered with a plain 4xx.
+func (f *Front) Malformed() int64 { return f.badly.Load() }
+
+// Drain ends the front at a planned restart. Clients still arrive for a while,
+// so it goes on accepting; then it closes client connections as they fall idle,
+// stops accepting, and waits for what is open, until shortly before the kill.
+func (f *Front) Drain(longest time.Duration) {
+	f.leaving.Store(true)
+	kill := time.Now().Add(min(longest, drainMost) + drainSpare)
+	time.Sleep(drainKeep)
+	f.server.SetKeepAlivesEnabled(false)
+	time.Sleep(drainAccept - drainKeep)
+	ctx, stop := context.WithDeadline(context.Background(), kill)
+	defer stop()
+	if err := f.server.Shutdown(ctx); err != nil {
+		f.log.Warn("calls were open at the end", "reason", err.Error())
+		f.server.Close()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer func() { // a panic that reached net/http would end the connection without an answer: a lost call
+		if p := recover(); p != nil {
+			f.log.Error("panic", "in", "front", "value", fmt.Sprint(p), "stack", string(debug.Stack()))
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	}()
+	if r.URL.Path == protocol.PathReady {
+		if f.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	call, status, err := f.read(r)
+	if err != nil {
+		f.badly.Add(1)
+		if status == http.StatusRequestEntityTooLarge {
+			w.Header().Set("Connection", "close") // what is left of the body is not worth reading
+		}
+		http.Error(w, err.Error(), status)
+		return
+	}
+	a, ok := f.taker.Take(r.Context(), call)
+	if !ok { // nobody should read it, but net/http must not make it an empty 200
+		a = routing.Answer{Verdict: routing.Failed}
+	}
+	f.answer(w, a)
+}
+
+// read takes a call out of a request, or says which 4xx it deserves.
+func (f *Front) read(r *http.Request) (routing.Call, int, error) {
+	if strings.HasPrefix(r.RequestURI, "//") {
+		// net/url would write such a target in another form than it came
+		return routing.Call{}, http.StatusBadRequest, errors.New("target: begins with two slashes")
+	}
+	call, err := f.names.ParseCall(func(name string) []string { return r.Header[name] }, r.URL.RawQuery)
+	if err != nil {
+		return call, http.StatusBadRequest, err
+	}
+	if r.ContentLength > protocol.MaxBody {
+		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody+1))
+	switch {
+	case err != nil:
+		return call, http.StatusBadRequest, fmt.Errorf("body: %w", err)
+	case len(body) > protocol.MaxBody:
+		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
+	}
+	call.Arrived = time.Now()
+	call.Payload = &message{
+		method: r.Method, target: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body,
+	}
+	return call, 0, nil
+}
+
+// answer writes the one final answer.
+func (f *Front) answer(w http.ResponseWriter, a routing.Answer) {
+	h := w.Header()
+	switch a.Verdict {
+	case routing.Served:
+		p := a.Reply.(*reply)
+		for name, values := range p.header {
+			h[name] = values
+		}
+		h.Set("Content-Length", strconv.Itoa(len(p.body)))
+		w.Write(p.body) // an error here is the client's going; its connection's line tells
+		return
+	case routing.Reject:
+		if a.RetryAfter > 0 {
+			h.Set("Retry-After", protocol.FormatSeconds(a.RetryAfter))
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case routing.Overdue:
+		w.WriteHeader(http.StatusGatewayTimeout)
+	default:
+		w.WriteHeader(http.StatusBadGateway)
+	}
+}
--- /dev/null
+++ b/internal/transport/life.go
@@ -0,0 +1,58 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"sync"
+	"time"
+)
+
+// life leaves the one log line of a connection when it ends. The first reason
+// noted is the one told.
+type life struct {
+	log    *slog.Logger
+	side   string
+	addr   string
+	born   time.Time
+	mu     sync.Mutex
+	reason string
+	once   sync.Once
+	ended  func()
+}
+
+func newLife(log *slog.Logger, side, addr string, ended func()) *life {
+	return &life{log: log, side: side, addr: addr, born: time.Now(), ended: ended}
+}
+
+// because notes why the connection is about to end.
+func (l *life) because(reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reason == "" {
+		l.reason = reason
+	}
+}
+
+// read notes what a failed read tells: the other side's end, or a break. A
+// deadline set to stop a read tells nothing.
+func (l *life) read(err error, closed, broke string) {
+	switch {
+	case err == nil || errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, io.EOF):
+		l.because(closed)
+	default:
+		l.because(broke)
+	}
+}
+
+// end leaves the line, once.
+func (l *life) end(otherwise string) {
+	l.because(otherwise)
+	l.once.Do(func() {
+		l.log.Info("connection ended", "side", l.side, "addr", l.addr, "reason", l.reason,
+			"lasted", time.Since(l.born).Round(time.Millisecond))
+		l.ended()
+	})
+}
--- /dev/null
+++ b/internal/transport/watch.go
@@ -0,0 +1,87 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"olivebridge/internal/protocol"
+	"olivebridge/internal/routing"
+)
+
+const (
+	// watchWait is how long discovery may hold a call. What it tells a machine
+	// that hears nothing counts as told 2 s after that, so it stays short.
+	watchWait = 10 * time.Second
+	// watchSlack is how much later an answer may come.
+	watchSlack = 1500 * time.Millisecond
+	// maxList bounds a list's bytes.
+	maxList = 8 << 20
+)
+
+// Watch follows the upstream group at discovery. One Watch call runs at a time.
+type Watch struct {
+	addr    string
+	names   protocol.Names
+	client  *http.Client
+	version int64 // of the list held; -1: none
+}
+
+// NewWatch makes a watch that goes on from a known version, or from none if
+// that is negative.
+func NewWatch(addr string, names protocol.Names, version int64) *Watch {
+	return &Watch{addr: addr, names: names, version: version, client: &http.Client{
+		Transport: &http.Transport{
+			DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+			DisableCompression: true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Watch implements routing.Watcher: each call follows the last answer at once.
+func (w *Watch) Watch(ctx context.Context, told func(routing.Group)) error {
+	for {
+		g, version, err := w.call(ctx)
+		if err != nil {
+			return err
+		}
+		w.version = version
+		told(g)
+	}
+}
+
+// call asks once: for what is newer than the version held, or for the whole list.
+func (w *Watch) call(ctx context.Context) (g routing.Group, version int64, err error) {
+	ctx, stop := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer stop()
+	u := url.URL{Scheme: "http", Host: w.addr, Path: protocol.PathGroup}
+	if w.version >= 0 {
+		u.RawQuery = "after=" + strconv.FormatInt(w.version, 10) +
+			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return g, 0, fmt.Errorf("upstream group: %w", err)
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return g, 0, fmt.Errorf("upstream group: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	switch {
+	case err != nil:
+		return g, 0, fmt.Errorf("upstream group: %w", err)
+	case resp.StatusCode != http.StatusOK:
+		return g, 0, fmt.Errorf("upstream group: status %d", resp.StatusCode)
+	}
+	g, version, err = w.names.ParseGroup(data)
+	g.At = time.Now()
+	return g, version, err
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,4 @@
-// Package wire holds the codec of the simulator's wire and the parser of the
-// settings that come with an instance. It makes no decisions.
+// Package wire holds the codec of the simulator's wire. It makes no decisions.
 package wire
 
 import (
