Keep an answer that is given before its front waits; test every stage on sockets

Seen: the race detector on a new test of racing ends. Take read the entry's answer channel (internal/routing/takein.go, await) while relay set that field to nil. An answer given before the front began to wait made it read nil, and the call hung until the guard answered it 504 at its deadline. Refusals are given synchronously, so they were the ones at risk.

Fixed: the channel stays, a mark says that the answer is given. TestAnswerBeforeTheWait shows it without a race.

Also seen in a test: with the client limit reached, Accept evicted an idle connection before a new one had come, so the limit was one less than said. It now accepts first.

--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -60,7 +60,7 @@
 	counters := func(when string) {
 		log.Info("counters", "when", when, "malformed", front.Malformed(), "calls", router.Counters().String())
 	}
-	log.Info("started", "name", c.Name, "listen", c.Listen, "peers", len(c.Known.Entries), "version", c.KnownVersion)
+	log.Info("started", "name", c.Name, "listen", listener.Addr().String(), "peers", len(c.Known.Entries), "version", c.KnownVersion)
 	for {
 		select {
 		case s := <-signals:
--- /dev/null
+++ b/cmd/olivebridge/main_test.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// TestMain lets the tests start the program: this binary, told to be it.
+func TestMain(m *testing.M) {
+	if os.Getenv("OLIVEBRIDGE_TEST_PROGRAM") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const config = `{"name":"n0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":256},
+"known":{"version":1,"full":true,"servers":[%s]},
+"settings":{"classes":[{"name":"status","aim":5000000000,"deadline":9000000000,"gain":2,"idempotency":"pure"},
+{"name":"book","aim":1000000000,"deadline":1500000000,"gain":2,"idempotency":"side_effect"}],
+"contract":{"ask_every":10000000000,"cold":1000000000,"cold_share":0.14,"drain_grace":2500000000,"fall":3000000000,"overload_factor":2.5},
+"discovery":"subscribe","limits":{"cancel":true,"connect_timeout":75000000,"idle_close":10000000000,"max_retry_after":1500000000,
+"probes":false,"retry_after":true,"second_copies":true,"try_limit":4},"n_instances":1,"kinds":["m1"],
+"tenants":[{"name":"acme","share":1}],"weights":"nominal","worth_by":"request","zone":0,"zones":["a"]}}`
+
+// node is a running program.
+type node struct {
+	cmd   *exec.Cmd
+	addr  string
+	lines chan string // what it writes, closed at its end
+}
+
+func program(t *testing.T, env ...string) *exec.Cmd {
+	t.Helper()
+	cmd := exec.CommandContext(t.Context(), os.Args[0])
+	cmd.Env = append(append(os.Environ(), "OLIVEBRIDGE_TEST_PROGRAM=1"), env...)
+	return cmd
+}
+
+func environment(t *testing.T, listen, discovery, text string) []string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return []string{"ROUTER_NAME=n0", "ROUTER_LISTEN=" + listen, "ROUTER_DISCOVERY=" + discovery, "ROUTER_CONFIG=" + path}
+}
+
+// start runs a node before one peer, and discovery that knows no more.
+func start(t *testing.T, peer http.HandlerFunc) *node {
+	t.Helper()
+	server := httptest.NewServer(peer)
+	t.Cleanup(server.Close)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(discovery.Close)
+	known := fmt.Sprintf(`{"id":"s-1","addr":%q,"zone":"a","kind":"m1","state":"Ready"}`, server.Listener.Addr())
+	n := &node{lines: make(chan string, 1000)}
+	n.cmd = program(t, environment(t, "127.0.0.1:0", discovery.Listener.Addr().String(), fmt.Sprintf(config, known))...)
+	out, err := n.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer close(n.lines)
+		for s := bufio.NewScanner(out); s.Scan(); {
+			n.lines <- s.Text()
+		}
+	}()
+	n.addr = regexp.MustCompile(`listen=(\S+)`).FindStringSubmatch(n.until(t, "msg=started"))[1]
+	return n
+}
+
+// until waits for a line that holds text.
+func (n *node) until(t *testing.T, text string) string {
+	t.Helper()
+	for line := range n.lines {
+		if strings.Contains(line, text) {
+			return line
+		}
+	}
+	t.Fatalf("the program ended without %q", text)
+	return ""
+}
+
+func (n *node) ask(t *testing.T, method, target, class, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+n.addr+target, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, v := range map[string]string{"X-Call-Id": "9b1f", "X-Call-Class": class, "X-Caller": "acme", "X-Budget": "5"} {
+		req.Header.Set(name, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Error(err)
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return resp.StatusCode, string(data)
+}
+
+// TestProgram serves calls, tells its counters when asked, and gives what is
+// open at SIGTERM its answer, as well as what comes shortly after.
+func TestProgram(t *testing.T) {
+	held, release := make(chan bool), make(chan bool)
+	n := start(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if r.URL.Path == "/held" {
+			held <- true
+			<-release
+		}
+		fmt.Fprint(w, r.Method, " ", r.RequestURI, " ", r.Header.Get("X-Call-Id"), " ", string(body))
+	})
+	if status, _ := n.ask(t, "GET", "/health/ready", "", ""); status != 200 {
+		t.Errorf("ready: %d", status)
+	}
+	if status, got := n.ask(t, "POST", "/api?user=%61b", "book", "paid"); status != 200 || got != "POST /api?user=%61b 9b1f paid" {
+		t.Errorf("%d %q", status, got)
+	}
+	if status, _ := n.ask(t, "GET", "/api", "gift", ""); status != 400 {
+		t.Errorf("unknown class: %d", status)
+	}
+	n.cmd.Process.Signal(syscall.SIGUSR1)
+	if line := n.until(t, "when=asked"); !strings.Contains(line, "malformed=1") || !strings.Contains(line, "taken=1 served=1") {
+		t.Error(line)
+	}
+	answers := make(chan int)
+	go func() {
+		status, _ := n.ask(t, "GET", "/held", "status", "")
+		answers <- status
+	}()
+	<-held
+	n.cmd.Process.Signal(syscall.SIGTERM)
+	n.until(t, "msg=draining")
+	http.DefaultClient.CloseIdleConnections()
+	if status, _ := n.ask(t, "GET", "/api", "status", ""); status != 200 { // on a new connection
+		t.Errorf("just after SIGTERM: %d", status)
+	}
+	if status, _ := n.ask(t, "GET", "/health/ready", "", ""); status != 503 {
+		t.Errorf("ready after SIGTERM: %d", status)
+	}
+	close(release)
+	if status := <-answers; status != 200 {
+		t.Errorf("the open call: %d", status)
+	}
+	if line := n.until(t, "when=exit"); !strings.Contains(line, "taken=3 served=3") {
+		t.Error(line)
+	}
+	for range n.lines { // to its end
+	}
+	if err := n.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
+// TestBadStart: one clear line and a non-zero exit code.
+func TestBadStart(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	good := environment(t, "127.0.0.1:0", "127.0.0.1:1", fmt.Sprintf(config, ""))
+	for want, env := range map[string][]string{
+		"variable ROUTER_NAME is missing": append(good[1:], "ROUTER_NAME="),
+		"no such file":                    append(good[:3:3], "ROUTER_CONFIG=missing.json"),
+		"configuration: ":                 environment(t, "127.0.0.1:0", "127.0.0.1:1", "{"),
+		"variable ROUTER_LISTEN: ":        environment(t, "nowhere", "127.0.0.1:1", fmt.Sprintf(config, "")),
+		"listening: listen tcp " + taken.Addr().String(): environment(t, taken.Addr().String(), "127.0.0.1:1",
+			fmt.Sprintf(config, "")),
+	} {
+		out, err := program(t, env...).CombinedOutput()
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) || exit.ExitCode() != 1 || strings.Count(string(out), "\n") != 1 ||
+			!strings.Contains(string(out), want) {
+			t.Errorf("want %q: %v, %q", want, err, out)
+		}
+	}
+}
+
+// stuck is an output that nobody reads.
+type stuck struct{ release chan bool }
+
+func (s stuck) Write(b []byte) (int, error) {
+	<-s.release
+	return len(b), nil
+}
+
+// TestLogNeverBlocks: decisions log, so a reader that stops must not stop them.
+func TestLogNeverBlocks(t *testing.T) {
+	s := stuck{make(chan bool)}
+	w := newLogWriter(s)
+	for range 2 * logLines {
+		fmt.Fprintln(w, "line")
+	}
+	if w.dropped.Load() < logLines/2 {
+		t.Errorf("%d dropped", w.dropped.Load())
+	}
+	close(s.release)
+	w.Close()
+	fmt.Fprintln(w, "late")
+}
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -10,7 +10,8 @@
 type entry struct {
 	Call
 	id       brain.RequestID
-	answer   chan Answer // holds one; nil once it is given
+	answer   chan Answer // holds one, so that giving it never waits
+	answered bool        // it is given, or nobody waits for it
 	deadline brain.Time
 	tries    []context.CancelCauseFunc // by attempt; nil once its outcome is in
 	out      int
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -11,7 +11,7 @@
 // book is the last stage: a call that is answered and has no try out leaves
 // the table.
 func (r *Router) book(e *entry) {
-	if e.answer == nil && e.out == 0 {
+	if e.answered && e.out == 0 {
 		delete(r.open, e.id)
 	}
 }
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -27,12 +27,12 @@
 type Peer struct {
 	ID         brain.ServerID
 	Name, Addr string
-	leaving    *atomic.Int64 // when it was told to leave, in UnixNano; 0: it stays
+	leaving    *atomic.Pointer[time.Time] // when it was told to leave; nil: it stays
 }
 
 // NewPeer makes a peer that stays.
 func NewPeer(id brain.ServerID, name, addr string) *Peer {
-	return &Peer{ID: id, Name: name, Addr: addr, leaving: new(atomic.Int64)}
+	return &Peer{ID: id, Name: name, Addr: addr, leaving: new(atomic.Pointer[time.Time])}
 }
 
 // OpenFor reports whether the first byte of a new try may still leave at now.
@@ -40,7 +40,7 @@
 // list changed; half of the grace is left as a margin for the way there.
 func (p *Peer) OpenFor(now time.Time, grace time.Duration) bool {
 	told := p.leaving.Load()
-	return told == 0 || now.UnixNano()-told <= int64(grace/2)
+	return told == nil || now.Sub(*told) <= grace/2
 }
 
 // listEvent brings a list, or the news that a watch broke.
@@ -75,25 +75,25 @@
 			p = &Peer{ID: e.ID, Name: e.Name, Addr: e.Addr, leaving: p.leaving}
 		}
 		r.peers[e.ID] = p
-		p.mark(e.State == brain.Ready || e.State == brain.Gone && r.set.DroppedStay, g.At)
+		p.Mark(e.State == brain.Ready || e.State == brain.Gone && r.set.DroppedStay, g.At)
 		servers = append(servers, e.Server)
 	}
 	if g.Kind != brain.Delta {
 		for id, p := range r.peers {
 			if !named[id] {
-				p.mark(r.set.DroppedStay, g.At)
+				p.Mark(r.set.DroppedStay, g.At)
 			}
 		}
 	}
 	r.brain.List(r.now(), g.Kind, servers)
 }
 
-// mark notes from when on a peer leaves; the first telling counts.
-func (p *Peer) mark(stays bool, at time.Time) {
+// Mark notes from when on a peer leaves; the first telling counts.
+func (p *Peer) Mark(stays bool, at time.Time) {
 	if stays {
-		p.leaving.Store(0)
+		p.leaving.Store(nil)
 	} else {
-		p.leaving.CompareAndSwap(0, at.UnixNano())
+		p.leaving.CompareAndSwap(nil, &at)
 	}
 }
 
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -27,7 +27,7 @@
 	if o.Result == brain.OK {
 		r.relay(e, Answer{Verdict: Served, Reply: o.reply})
 	}
-	o.Closed = e.answer == nil
+	o.Closed = e.answered
 	defer r.book(e)
 	r.brain.Outcome(r.now(), o.Outcome)
 }
@@ -35,11 +35,10 @@
 // relay gives a call its one answer. Outcome, hang-up and deadline may race:
 // only the first counts.
 func (r *Router) relay(e *entry, a Answer) {
-	if e.answer == nil {
-		return
+	if !e.answered {
+		e.answered = true
+		e.answer <- a
 	}
-	e.answer <- a // never waits: it has room for one
-	e.answer = nil
 }
 
 // Refuse implements brain.Host. The answer leaves at once.
@@ -71,7 +70,7 @@
 	if r.open[h.e.id] != h.e {
 		return
 	}
-	h.e.answer = nil
+	h.e.answered = true
 	defer r.book(h.e)
 	r.brain.HangUp(r.now(), h.e.id)
 }
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,316 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"olivebridge/brain"
+)
+
+// classes of the tests
+const (
+	safe = iota
+	unsafe
+)
+
+func testSettings() brain.Settings {
+	class := brain.Class{Aim: 10 * time.Second, Deadline: 20 * time.Second, Worth: 1, Effect: brain.Pure}
+	book := class
+	book.Effect = brain.SideEffect
+	return brain.Settings{
+		Classes: []brain.Class{class, book}, Nodes: 1, Cold: time.Second, ColdShare: 0.2, Overload: 3,
+		Fall: time.Second, TryLimit: 3, RetryAfter: true, MaxRetryAfter: time.Second, Cancel: true,
+		DrainGrace: time.Second, Ask: true, AskEvery: time.Second,
+	}
+}
+
+// carrier answers each try by a function.
+type carrier func(ctx context.Context, t Try) TryResult
+
+func (c carrier) Try(ctx context.Context, t Try) TryResult        { return c(ctx, t) }
+func (c carrier) Probe(ctx context.Context, p *Peer) brain.Result { return brain.OK }
+
+// still is an upstream group that never changes.
+type still struct{}
+
+func (still) Watch(ctx context.Context, told func(Group)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func listed(ids ...brain.ServerID) Group {
+	g := Group{Kind: brain.Full, At: time.Now()}
+	for _, id := range ids {
+		g.Entries = append(g.Entries, Entry{Server: brain.Server{ID: id, Weight: 1, State: brain.Ready}, Addr: "a:1"})
+	}
+	return g
+}
+
+func newRouter(c carrier, known Group) *Router {
+	return New(Config{Settings: testSettings(), Seed: 1, Known: known, Carrier: c, Watcher: still{},
+		Log: slog.New(slog.DiscardHandler)})
+}
+
+// started runs a router until the test ends.
+func started(t *testing.T, c carrier, known Group) *Router {
+	r := newRouter(c, known)
+	ctx, stop := context.WithCancel(t.Context())
+	over := make(chan error)
+	go func() { over <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+func call(class int, budget time.Duration) Call {
+	return Call{Class: class, Tenant: -1, Arrived: time.Now(), Budget: budget, Payload: "as it came"}
+}
+
+func TestAnswers(t *testing.T) {
+	ends := func(first, later brain.Result) carrier {
+		var mu sync.Mutex
+		n := 0
+		return func(ctx context.Context, try Try) TryResult {
+			mu.Lock()
+			defer mu.Unlock()
+			if n++; n == 1 {
+				return TryResult{Result: first, Reply: "reply"}
+			}
+			return TryResult{Result: later, Reply: "reply"}
+		}
+	}
+	for name, c := range map[string]struct {
+		class  int
+		answer carrier
+		peers  []brain.ServerID
+		want   Verdict
+		tries  int64
+	}{
+		"served":                      {safe, ends(brain.OK, 0), []brain.ServerID{7, 8}, Served, 1},
+		"no peer":                     {unsafe, nil, nil, Reject, 0},
+		"safe after an error":         {safe, ends(brain.Errored, brain.OK), []brain.ServerID{7, 8}, Served, 2},
+		"unsafe after an error":       {unsafe, ends(brain.Errored, brain.OK), []brain.ServerID{7, 8}, Failed, 1},
+		"unsafe after a reset":        {unsafe, ends(brain.Reset, brain.OK), []brain.ServerID{7, 8}, Failed, 1},
+		"unsafe turned away":          {unsafe, ends(brain.Rejected, brain.OK), []brain.ServerID{7, 8}, Served, 2},
+		"unsafe not connected":        {unsafe, ends(brain.ConnectFailed, brain.OK), []brain.ServerID{7, 8}, Served, 2},
+		"unsafe, connected nowhere":   {unsafe, ends(brain.ConnectFailed, brain.ConnectFailed), []brain.ServerID{7, 8}, Reject, 2},
+		"a carrier that panics":       {unsafe, func(context.Context, Try) TryResult { panic("carrier") }, []brain.ServerID{7}, Failed, 1},
+		"a class that does not exist": {9, nil, []brain.ServerID{7}, Failed, 0},
+	} {
+		r := started(t, c.answer, listed(c.peers...))
+		a, ok := r.Take(t.Context(), call(c.class, time.Minute))
+		if !ok || a.Verdict != c.want || r.count.Tries.Load() != c.tries || (a.Reply == "reply") != (c.want == Served) ||
+			(a.RetryAfter > 0) != (c.want == Reject) {
+			t.Errorf("%s: %+v, %v after %d tries, want %v after %d", name, a, ok, r.count.Tries.Load(), c.want, c.tries)
+		}
+	}
+}
+
+// TestOverdueTry: a peer that says nothing costs the call its time, no more,
+// and the try ends with the cause that tells the carrier why.
+func TestOverdueTry(t *testing.T) {
+	cause := make(chan error, 1)
+	r := started(t, func(ctx context.Context, try Try) TryResult {
+		ctx, stop := context.WithDeadlineCause(ctx, try.Until, ErrTimeUp)
+		defer stop()
+		<-ctx.Done()
+		cause <- context.Cause(ctx)
+		return TryResult{Result: brain.TimedOut}
+	}, listed(7))
+	c := call(unsafe, 100*time.Millisecond)
+	if a, ok := r.Take(t.Context(), c); !ok || a.Verdict != Overdue || time.Since(c.Arrived) < 90*time.Millisecond {
+		t.Errorf("%+v, %v after %v", a, ok, time.Since(c.Arrived))
+	}
+	if err := <-cause; err != ErrTimeUp {
+		t.Error(err)
+	}
+}
+
+// TestHangUpCallsOff: when the client goes, its try is called off.
+func TestHangUpCallsOff(t *testing.T) {
+	ctx, hangUp := context.WithCancel(t.Context())
+	cause := make(chan error, 1)
+	r := started(t, func(ctx context.Context, try Try) TryResult {
+		hangUp()
+		<-ctx.Done()
+		cause <- context.Cause(ctx)
+		return TryResult{Result: brain.Cancelled}
+	}, listed(7))
+	if _, ok := r.Take(ctx, call(safe, time.Minute)); ok {
+		t.Error("a client that has gone was answered")
+	}
+	if err := <-cause; err != ErrCalledOff {
+		t.Error(err)
+	}
+}
+
+// TestFullQueue: with the queue full a call is turned away well before its
+// time is up, whatever its class, for it never ran.
+func TestFullQueue(t *testing.T) {
+	r := newRouter(nil, listed()) // its decisions never start
+	for range queueLength {
+		r.events <- wakeEvent(0)
+	}
+	c := call(unsafe, 200*time.Millisecond)
+	if a, ok := r.Take(t.Context(), c); !ok || a.Verdict != Reject || time.Since(c.Arrived) > c.Budget {
+		t.Errorf("%+v, %v after %v", a, ok, time.Since(c.Arrived))
+	}
+}
+
+// TestLostCallIsAnswered: a call that the decisions never answer gets its
+// answer all the same, and it promises nothing.
+func TestLostCallIsAnswered(t *testing.T) {
+	r := newRouter(nil, listed())
+	if a, ok := r.Take(t.Context(), call(safe, 30*time.Millisecond)); !ok || a.Verdict != Overdue {
+		t.Errorf("%+v, %v", a, ok)
+	}
+	if r.count.GuardAnswers.Load() != 1 {
+		t.Error("the guard did not count")
+	}
+}
+
+// TestAnswerBeforeTheWait guards against an answer that is lost because it was
+// given before anybody waited for it: the call then hung until its time was up.
+func TestAnswerBeforeTheWait(t *testing.T) {
+	r := newRouter(nil, listed())
+	e := &entry{Call: call(safe, time.Minute), answer: make(chan Answer, 1)}
+	r.relay(e, Answer{Verdict: Reject})
+	r.relay(e, Answer{Verdict: Served}) // the second of a race counts for nothing
+	if a, ok := r.await(t.Context(), e); !ok || a.Verdict != Reject || len(e.answer) != 0 {
+		t.Errorf("%+v, %v", a, ok)
+	}
+}
+
+// faulty is an event that panics over a call, as a fault in a decision would.
+type faulty struct{ id brain.RequestID }
+
+func (f faulty) call() brain.RequestID { return f.id }
+func (f faulty) handle(*Router)        { panic("decision") }
+
+// TestPanicInDecision: the call concerned fails at once, the node goes on.
+func TestPanicInDecision(t *testing.T) {
+	out := make(chan struct{}, 1)
+	r := started(t, func(ctx context.Context, try Try) TryResult {
+		if try.Payload == "first" {
+			out <- struct{}{}
+			<-ctx.Done()
+			return TryResult{Result: brain.Cancelled}
+		}
+		return TryResult{Result: brain.OK}
+	}, listed(7))
+	first := call(safe, time.Minute)
+	first.Payload = "first"
+	got := make(chan Answer)
+	go func() {
+		a, _ := r.Take(t.Context(), first)
+		got <- a
+	}()
+	<-out
+	r.post(faulty{1})
+	if a := <-got; a.Verdict != Failed {
+		t.Errorf("the call concerned: %+v", a)
+	}
+	if a, ok := r.Take(t.Context(), call(safe, time.Minute)); !ok || a.Verdict != Served || r.count.Panics.Load() != 1 {
+		t.Errorf("the next call: %+v, %v", a, ok)
+	}
+}
+
+// TestRaces lets outcomes, hang-ups and deadlines race; every call ends once
+// and the table is empty afterwards.
+func TestRaces(t *testing.T) {
+	r := started(t, func(ctx context.Context, try Try) TryResult {
+		try.Payload.(context.CancelFunc)()
+		return TryResult{Result: brain.OK}
+	}, listed(7, 8, 9))
+	var all sync.WaitGroup
+	const n = 300
+	for i := range n {
+		all.Go(func() {
+			ctx, hangUp := context.WithCancel(context.Background())
+			defer hangUp()
+			c := call(i%2, time.Duration(1+i%30)*time.Millisecond)
+			c.Payload = hangUp
+			r.Take(ctx, c)
+		})
+	}
+	all.Wait()
+	k := r.count
+	if sum := k.Served.Load() + k.Rejected.Load() + k.Failed.Load() + k.Overdue.Load() + k.HungUp.Load(); sum != n {
+		t.Errorf("%d ends of %d calls: %v", sum, n, k)
+	}
+	open := make(chan int, 1)
+	for left := 1; left > 0; left = <-open {
+		r.post(look(func(r *Router) { open <- len(r.open) })) // tries still out come back by the carrier's end
+	}
+}
+
+type look func(*Router)
+
+func (l look) handle(r *Router) { l(r) }
+
+// scripted tells lists as the test sends them, and breaks on an error.
+type scripted chan any
+
+func (s scripted) Watch(ctx context.Context, told func(Group)) error {
+	for {
+		select {
+		case x := <-s:
+			if err, ok := x.(error); ok {
+				return err
+			}
+			told(x.(Group))
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// TestGroup: addresses and leaving marks follow the upstream group; a broken
+// watch leaves the old list standing and is begun anew.
+func TestGroup(t *testing.T) {
+	lists := make(scripted)
+	r := newRouter(nil, listed(7, 8))
+	r.watcher = lists
+	go r.Run(t.Context())
+	see := func(id brain.ServerID) (p Peer) {
+		seen := make(chan Peer)
+		r.post(look(func(r *Router) { seen <- *r.peers[id] }))
+		return <-seen
+	}
+	told := func(g Group) {
+		lists <- g
+		lists <- Group{Kind: brain.Delta} // the second is taken once the first is posted
+	}
+	draining := listed(7)
+	draining.Kind = brain.Delta
+	draining.Entries[0].State = brain.Draining
+	told(draining)
+	grace, at := time.Second, draining.At
+	if p := see(7); !p.OpenFor(at, grace) || p.OpenFor(at.Add(grace*3/4), grace) {
+		t.Error("a draining peer keeps the grace, no longer")
+	}
+	if p := see(8); !p.OpenFor(at.Add(time.Hour), grace) {
+		t.Error("a change of one peer moved another")
+	}
+	lists <- errors.New("broken")
+	moved := listed(7)
+	moved.Entries[0].Addr = "b:2"
+	told(moved) // after a back-off of the Balancer's, the watch has begun anew
+	if p := see(7); p.Addr != "b:2" || !p.OpenFor(at.Add(time.Hour), grace) {
+		t.Errorf("moved: %+v", p)
+	}
+	if p := see(8); p.OpenFor(at.Add(time.Hour), grace) {
+		t.Error("a peer missing from the whole list stays")
+	}
+	if r.count.WatchFailures.Load() != 1 {
+		t.Error("the broken watch did not count")
+	}
+}
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -41,7 +41,14 @@
 	case <-ctx.Done():
 		return Answer{}, false
 	}
-	end.Reset(time.Until(c.Arrived.Add(c.Budget + guardDelay)))
+	return r.await(ctx, e)
+}
+
+// await waits for a call's answer until its time is up. The answer may be there
+// already: the decisions can be done with a call before its front waits for it.
+func (r *Router) await(ctx context.Context, e *entry) (a Answer, ok bool) {
+	end := time.NewTimer(time.Until(e.Arrived.Add(e.Budget + guardDelay)))
+	defer end.Stop()
 	select {
 	case a = <-e.answer:
 		return a, true
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -10,7 +10,7 @@
 
 // clients bounds the client connections. When they are as many as may be, the
 // one idle for the longest makes room, which costs its client a new connection
-// at most; if none is idle, new ones wait in the listener's queue.
+// at most; if none is idle, a new one waits and the rest in the listener's queue.
 type clients struct {
 	net.Listener
 	log *slog.Logger
@@ -31,11 +31,11 @@
 
 // Accept implements net.Listener.
 func (c *clients) Accept() (net.Conn, error) {
-	c.makeRoom()
 	conn, err := c.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
+	c.makeRoom()
 	k := &clientConn{Conn: conn}
 	k.life = newLife(c.log, "client", conn.RemoteAddr().String(), func() { c.forget(k) })
 	c.mu.Lock()
@@ -47,7 +47,7 @@
 func (c *clients) makeRoom() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.open) >= c.max && !c.closed {
+	for len(c.open) >= c.max && !c.closed { // the new one waits here
 		first := c.idle.Front()
 		if first == nil {
 			c.room.Wait()
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,480 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"olivebridge/brain"
+	"olivebridge/internal/protocol"
+	"olivebridge/internal/routing"
+)
+
+// lines is a log that a test can wait on.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) {
+	l <- string(b)
+	return len(b), nil
+}
+
+func (l lines) log() *slog.Logger { return slog.New(slog.NewTextHandler(l, nil)) }
+
+// until waits for a line that holds all the words.
+func (l lines) until(words ...string) string {
+next:
+	for line := range l {
+		for _, w := range words {
+			if !strings.Contains(line, w) {
+				continue next
+			}
+		}
+		return line
+	}
+	return ""
+}
+
+// listenOn serves each connection of a new listener by a function.
+func listenOn(t *testing.T, serve func(net.Conn)) *routing.Peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				serve(conn)
+			}()
+		}
+	}()
+	return routing.NewPeer(1, "s-1", l.Addr().String())
+}
+
+// answering is a peer that reads whole requests, tells their bytes, and
+// writes the next of the answers; "" ends the connection.
+func answering(t *testing.T, answers ...string) (*routing.Peer, chan string) {
+	got, next := make(chan string, 100), make(chan string, len(answers))
+	for _, a := range answers {
+		next <- a
+	}
+	return listenOn(t, func(conn net.Conn) {
+		var raw bytes.Buffer
+		in := bufio.NewReader(io.TeeReader(conn, &raw))
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			got <- raw.String()
+			raw.Reset()
+			a := <-next
+			if io.WriteString(conn, a); a == "" || strings.Contains(a, "cut") {
+				return
+			}
+		}
+	}), got
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+func newCarrier(connect time.Duration) (*Carrier, lines) {
+	l := make(lines, 1000)
+	return NewCarrier(CarrierConfig{ConnectTimeout: connect, IdleClose: time.Minute, DrainGrace: time.Second,
+		MaxConns: 10, Log: l.log()}), l
+}
+
+func tryOf(p *routing.Peer, method, body string) routing.Try {
+	return routing.Try{Peer: p, Until: time.Now().Add(time.Minute), Payload: &message{method: method,
+		target: "/api?user=a%2Fb&x=%7e", host: "api.internal", header: http.Header{"X-Call-Id": {"9b"}}, body: []byte(body)}}
+}
+
+// TestNoHiddenTry guards against http.Transport sending a request again by
+// itself when a reused connection breaks: the peer must see it once.
+func TestNoHiddenTry(t *testing.T) {
+	for _, c := range []struct{ method, body string }{{"GET", ""}, {"POST", "book"}, {"POST", ""}, {"PUT", ""}} {
+		p, got := answering(t, ok, "", ok)
+		k, _ := newCarrier(time.Second)
+		if r := k.Try(t.Context(), tryOf(p, c.method, c.body)); r.Result != brain.OK {
+			t.Fatalf("%v: first try %d", c, r.Result)
+		}
+		if r := k.Try(t.Context(), tryOf(p, c.method, c.body)); r.Result != brain.Reset || len(got) != 2 {
+			t.Errorf("%v: result %d after %d requests on the wire, want a reset after 2", c, r.Result, len(got))
+		}
+	}
+}
+
+func TestBytesOnTheWire(t *testing.T) {
+	for _, c := range []struct{ method, body, framing string }{
+		{"GET", "", ""}, {"POST", "\x00book\xff", "Content-Length: 6\r\n"}, {"POST", "", ""}} {
+		p, got := answering(t, ok)
+		k, _ := newCarrier(time.Second)
+		r := k.Try(t.Context(), tryOf(p, c.method, c.body))
+		if r.Result != brain.OK || string(r.Reply.(*reply).body) != "hi" {
+			t.Errorf("%v: %+v", c, r)
+		}
+		want := c.method + " /api?user=a%2Fb&x=%7e HTTP/1.1\r\nHost: api.internal\r\n" + c.framing +
+			"X-Budget: 59.999\r\nX-Call-Id: 9b\r\n\r\n" + c.body
+		if wire := <-got; wire != want && wire != strings.Replace(want, "59.999", "60.000", 1) {
+			t.Errorf("on the wire:\n%q\nwant\n%q", wire, want)
+		}
+	}
+}
+
+func TestTryResults(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   brain.Result
+	}{
+		"served":              {ok, brain.OK},
+		"error":               {"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", brain.Errored},
+		"turned away":         {"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", brain.Rejected},
+		"503 without proof":   {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", brain.Errored},
+		"redirect":            {"HTTP/1.1 302 X\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n", brain.Errored},
+		"break after sending": {"", brain.Reset},
+		"body cut short":      {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", brain.Reset},
+		"not HTTP":            {"cut\r\n\r\n", brain.Reset},
+		"body too large": {"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", protocol.MaxBody+1),
+			brain.Errored},
+	} {
+		p, got := answering(t, c.answer, ok)
+		k, _ := newCarrier(time.Second)
+		if r := k.Try(t.Context(), tryOf(p, "POST", "book")); r.Result != c.want || len(got) != 1 {
+			t.Errorf("%s: result %d after %d requests, want %d after 1", name, r.Result, len(got), c.want)
+		}
+	}
+}
+
+// TestNotConnected: a connection that is refused, or late, proves that the try never ran.
+func TestNotConnected(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	refusing := routing.NewPeer(1, "s-1", l.Addr().String())
+	silent := listenOn(t, func(net.Conn) { <-t.Context().Done() })
+	for name, c := range map[string]struct {
+		peer    *routing.Peer
+		connect time.Duration
+		want    brain.Result
+	}{"refused": {refusing, time.Second, brain.ConnectFailed}, "late": {silent, 1, brain.ConnectFailed}} {
+		k, _ := newCarrier(c.connect)
+		if r := k.Try(t.Context(), tryOf(c.peer, "POST", "book")); r.Result != c.want {
+			t.Errorf("%s: result %d, want %d", name, r.Result, c.want)
+		}
+	}
+}
+
+// TestGivenUp: what was written whole and then given up may have run; what was
+// given up before never did. Each leaves its reason.
+func TestGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		cause  error
+		want   brain.Result
+		reason string
+	}{{routing.ErrTimeUp, brain.TimedOut, "try-timeout"}, {routing.ErrCalledOff, brain.Cancelled, "called-off"}} {
+		ctx, giveUp := context.WithCancelCause(t.Context())
+		p := listenOn(t, func(conn net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				giveUp(c.cause)
+				io.Copy(io.Discard, conn)
+			}
+		})
+		k, log := newCarrier(time.Second)
+		if r := k.Try(ctx, tryOf(p, "GET", "")); r.Result != c.want {
+			t.Errorf("%v: result %d, want %d", c.cause, r.Result, c.want)
+		}
+		log.until("side=peer", "reason="+c.reason)
+		if r := k.Try(ctx, tryOf(p, "GET", "")); r.Result != brain.Moot {
+			t.Errorf("%v before it was sent: result %d", c.cause, r.Result)
+		}
+	}
+}
+
+// TestLastByteNotWritten: a connection that breaks before the request's last
+// byte was written proves that it never ran; one that breaks after does not.
+func TestLastByteNotWritten(t *testing.T) {
+	for whole, want := range map[bool]brain.Result{false: brain.ConnectFailed, true: brain.Reset} {
+		near, far := net.Pipe()
+		l := make(lines, 10)
+		w := &writing{ctx: t.Context(), peer: routing.NewPeer(1, "", "")}
+		c := &peerConn{Conn: near, life: newLife(l.log(), "peer", "", func() {})}
+		c.now.Store(w)
+		go func() {
+			io.ReadFull(far, make([]byte, map[bool]int{false: 5, true: 10}[whole]))
+			far.Close()
+		}()
+		_, err := c.Write(make([]byte, 10))
+		if (err == nil) != whole {
+			t.Fatal(err)
+		}
+		if got := w.failed(io.ErrUnexpectedEOF); got != want {
+			t.Errorf("written whole: %v: result %d, want %d", whole, got, want)
+		}
+		if _, err := c.Write([]byte("late")); err != errSealed {
+			t.Errorf("a write after the end: %v", err)
+		}
+	}
+}
+
+// TestLeavingPeer holds the drain rule where it counts, at the first byte: a
+// peer past its grace gets none, though the connection is up.
+func TestLeavingPeer(t *testing.T) {
+	read := make(chan int64)
+	p := listenOn(t, func(conn net.Conn) {
+		n, _ := io.Copy(io.Discard, conn)
+		read <- n
+	})
+	p.Mark(false, time.Now().Add(-time.Hour))
+	k, log := newCarrier(time.Second)
+	if r := k.Try(t.Context(), tryOf(p, "GET", "")); r.Result != brain.Moot {
+		t.Errorf("result %d", r.Result)
+	}
+	if n := <-read; n != 0 {
+		t.Errorf("%d bytes reached a peer that left", n)
+	}
+	log.until("side=peer", "reason=not-sent")
+}
+
+// TestIdleConnections are closed safely before the peer would: a request that
+// crosses its closing is lost.
+func TestIdleConnections(t *testing.T) {
+	p, _ := answering(t, ok)
+	l := make(lines, 10)
+	k := NewCarrier(CarrierConfig{ConnectTimeout: time.Second, IdleClose: 50 * time.Millisecond, MaxConns: 4, Log: l.log()})
+	if k.transport.IdleConnTimeout >= 40*time.Millisecond {
+		t.Errorf("idle for %v of 50 ms", k.transport.IdleConnTimeout)
+	}
+	k.Try(t.Context(), tryOf(p, "GET", ""))
+	l.until("side=peer", "reason=idle")
+	if n := k.conns.Load(); n != 0 {
+		t.Errorf("%d connections counted after the last ended", n)
+	}
+}
+
+// TestConnectionsBounded: the descriptors run out before the node does, and
+// the try is known not to have run.
+func TestConnectionsBounded(t *testing.T) {
+	p := listenOn(t, func(net.Conn) { <-t.Context().Done() })
+	k, _ := newCarrier(time.Second)
+	k.conns.Store(10)
+	if r := k.Try(t.Context(), tryOf(p, "GET", "")); r.Result != brain.Moot || k.conns.Load() != 10 {
+		t.Errorf("result %d, %d connections", r.Result, k.conns.Load())
+	}
+}
+
+func TestProbe(t *testing.T) {
+	for answer, want := range map[string]brain.Result{ok: brain.OK, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n": brain.Errored} {
+		p, got := answering(t, answer)
+		k, _ := newCarrier(time.Second)
+		if r := k.Probe(t.Context(), p); r != want {
+			t.Errorf("result %d, want %d", r, want)
+		}
+		if wire := <-got; !strings.HasPrefix(wire, "GET /health/live HTTP/1.1\r\n") {
+			t.Errorf("on the wire: %q", wire)
+		}
+	}
+}
+
+// taker stands for the decisions.
+type taker func(ctx context.Context, c routing.Call) (routing.Answer, bool)
+
+func (f taker) Take(ctx context.Context, c routing.Call) (routing.Answer, bool) { return f(ctx, c) }
+
+func newFront(t *testing.T, most int, f taker) (addr string, front *Front, log lines) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log = make(lines, 1000)
+	front = NewFront(l, protocol.Names{Classes: map[string]int{"book": 0}}, f, most, log.log())
+	go front.Serve()
+	t.Cleanup(func() { front.server.Close() })
+	return l.Addr().String(), front, log
+}
+
+// client is a client connection that says what the test tells it to.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, addr string) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &client{conn, bufio.NewReader(conn)}
+}
+
+// ask sends raw bytes and reads one answer.
+func (c *client) ask(t *testing.T, raw string) (*http.Response, string) {
+	t.Helper()
+	go io.WriteString(c, raw) // an early answer must not wait for all of it
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+const head = "POST /api?user=%41 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b\r\nX-Call-Class: book\r\nX-Budget: 0.5\r\n"
+
+// TestMalformedRequests get a plain 4xx and no try.
+func TestMalformedRequests(t *testing.T) {
+	addr, front, _ := newFront(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
+		return routing.Answer{Verdict: routing.Served, Reply: &reply{body: c.Payload.(*message).body}}, true
+	})
+	body := func(n int) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n", n) + strings.Repeat("x", n) }
+	cases := []struct {
+		raw  string
+		want int
+	}{
+		{head + body(0), 200}, {head + body(protocol.MaxBody), 200}, {head + body(protocol.MaxBody+1), 413},
+		{head + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 200},
+		{head + "Transfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", 0x10001) + "\r\n0\r\n\r\n", 413},
+		{strings.Replace(head, "book", "gift", 1) + body(0), 400}, {strings.Replace(head, "0.5", "soon", 1) + body(0), 400},
+		{strings.Replace(head, "X-Call-Id", "X-Id", 1) + body(0), 400}, {strings.Replace(head, "/api", "//api", 1) + body(0), 400},
+	}
+	bad := 0
+	for _, c := range cases {
+		resp, _ := dial(t, addr).ask(t, c.raw)
+		if resp.StatusCode != c.want {
+			t.Errorf("%.90q: status %d, want %d", c.raw, resp.StatusCode, c.want)
+		}
+		if c.want != 200 {
+			bad++
+		}
+	}
+	if front.Malformed() != int64(bad) {
+		t.Errorf("%d counted as malformed of %d", front.Malformed(), bad)
+	}
+}
+
+func TestAnswersOnTheWire(t *testing.T) {
+	var a routing.Answer
+	addr, _, _ := newFront(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
+		if a.Verdict == 9 {
+			panic("taker")
+		}
+		return a, true
+	})
+	c := dial(t, addr)
+	for _, k := range []struct {
+		answer routing.Answer
+		status int
+		after  string
+	}{
+		{routing.Answer{Verdict: routing.Served, Reply: &reply{header: http.Header{"X-Hit": {"1"}}, body: []byte("\x00b")}}, 200, ""},
+		{routing.Answer{Verdict: routing.Reject, RetryAfter: 250 * time.Millisecond}, 503, "0.250"},
+		{routing.Answer{Verdict: routing.Reject}, 503, ""}, {routing.Answer{Verdict: routing.Failed}, 502, ""},
+		{routing.Answer{Verdict: routing.Overdue}, 504, ""},
+		{routing.Answer{Verdict: 9}, 500, ""}, // a panic must not end the connection: the call would be lost
+	} {
+		a = k.answer
+		resp, body := c.ask(t, head+"Content-Length: 0\r\n\r\n")
+		if resp.StatusCode != k.status || resp.Header.Get("Retry-After") != k.after || (body == "\x00b") != (k.status == 200) ||
+			(resp.Header.Get("X-Hit") != "") != (k.status == 200) {
+			t.Errorf("%+v: %d %q %v", k.answer, resp.StatusCode, body, resp.Header)
+		}
+	}
+	if resp, _ := c.ask(t, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
+		t.Errorf("ready: %d", resp.StatusCode)
+	}
+}
+
+func TestClientGone(t *testing.T) {
+	taken, gone := make(chan bool), make(chan bool)
+	addr, _, log := newFront(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
+		taken <- true
+		<-ctx.Done()
+		close(gone)
+		return routing.Answer{}, false
+	})
+	c := dial(t, addr)
+	io.WriteString(c, head+"Content-Length: 0\r\n\r\n")
+	<-taken
+	c.Close()
+	<-gone
+	log.until("side=client", "reason=client-closed")
+}
+
+// TestClientsBounded: one connection too many closes the one idle for longest.
+func TestClientsBounded(t *testing.T) {
+	addr, _, log := newFront(t, 2, nil)
+	ready := "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+	first, second := dial(t, addr), dial(t, addr)
+	first.ask(t, ready)
+	second.ask(t, ready)
+	third := dial(t, addr)
+	if _, err := first.in.ReadByte(); err != io.EOF {
+		t.Errorf("the first: %v", err)
+	}
+	log.until("side=client", "addr="+first.LocalAddr().String(), "reason=evicted")
+	for _, c := range []*client{third, second} {
+		if resp, _ := c.ask(t, ready); resp.StatusCode != 200 {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	}
+}
+
+// TestWatch: each call names the version held; a faulty answer ends the watch
+// and leaves the version, so that nothing is skipped.
+func TestWatch(t *testing.T) {
+	asked := make(chan string, 10)
+	answers := []string{`{"version":41,"full":true,"servers":[]}`, `{"version":43,"full":false,"servers":[]}`,
+		`{"version":44,"full":false,"servers":[{"id":""}]}`, "", `{"version":45,"full":false,"servers":[]}`, "cut"}
+	next := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.RequestURI
+		a := answers[next]
+		if next++; a == "" {
+			w.WriteHeader(503)
+		}
+		io.WriteString(w, a)
+	}))
+	defer s.Close()
+	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, -1)
+	var kinds []brain.ListKind
+	for range 3 { // the malformed list, the 503, what is no JSON
+		if err := w.Watch(t.Context(), func(g routing.Group) { kinds = append(kinds, g.Kind) }); err == nil {
+			t.Error("no error")
+		}
+	}
+	if fmt.Sprint(kinds) != fmt.Sprint([]brain.ListKind{brain.Full, brain.Delta, brain.Delta}) {
+		t.Errorf("told %v", kinds)
+	}
+	for _, version := range []string{"", "41", "43", "43", "43", "45"} {
+		want := "/registry/instances"
+		if version != "" {
+			want += "?after=" + version + "&wait_ms=10000"
+		}
+		if got := <-asked; got != want {
+			t.Errorf("asked %s, want %s", got, want)
+		}
+	}
+}
