--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -31,6 +31,7 @@
 		return err
 	}
 	setLimits(c)
+	signal.Ignore(syscall.SIGPIPE) // or a log reader that goes away would take the node with it
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	listener, err := net.Listen("tcp", c.Listen)
@@ -58,22 +59,34 @@
 	go func() { ended <- router.Run(ctx) }()
 	go func() { ended <- front.Serve() }()
 	counters := func(when string) {
-		log.Info("counters", "when", when, "malformed", front.Malformed(), "calls", router.Counters().String())
+		log.Info("counters", "when", when, "malformed", front.Malformed(), "shed", front.Shed(),
+			"calls", router.Counters().String())
 	}
-	log.Info("started", "name", c.Name, "listen", listener.Addr().String(), "peers", len(c.Known.Entries), "version", c.KnownVersion)
+	log.Info("started", "name", c.Name, "listen", listener.Addr().String(), "peers", len(c.Known.Entries),
+		"version", c.KnownVersion)
+	var drained chan struct{} // closed once nothing is open; nil before SIGTERM
 	for {
 		select {
 		case s := <-signals:
-			if s == syscall.SIGUSR1 {
+			switch {
+			case s == syscall.SIGUSR1:
 				counters("asked")
-				continue
+			case drained == nil:
+				log.Info("draining", "signal", s.String())
+				drained = make(chan struct{})
+				go func() {
+					front.Drain(c.LongestDeadline)
+					close(drained)
+				}()
 			}
-			log.Info("draining", "signal", s.String())
-			front.Drain(c.LongestDeadline)
+		case <-drained:
 			carrier.Close()
 			counters("exit")
 			return nil
 		case err := <-ended:
+			if err == nil && drained != nil {
+				continue // the front stopped accepting, as it should
+			}
 			counters("failure")
 			return err
 		}
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -56,9 +56,11 @@
 
 func (k *Carrier) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	if k.conns.Add(1) > int64(k.config.MaxConns) {
-		k.conns.Add(-1)
-		k.transport.CloseIdleConnections()
-		return nil, errNoRoom
+		k.transport.CloseIdleConnections() // guards the descriptors; a handshake more beats a try less
+		if k.conns.Load() > int64(k.config.MaxConns) {
+			k.conns.Add(-1)
+			return nil, errNoRoom
+		}
 	}
 	d := net.Dialer{Timeout: k.config.ConnectTimeout, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, network, addr)
@@ -82,8 +84,7 @@
 	}
 	header := maps.Clone(m.header)
 	header[protocol.HeaderBudget] = []string{protocol.FormatSeconds(time.Until(t.Until))}
-	res := k.exchange(ctx, t.Peer, m, header)
-	return res
+	return k.exchange(ctx, t.Peer, m, header)
 }
 
 // Probe implements routing.Carrier.
@@ -122,7 +123,10 @@
 	}
 	defer resp.Body.Close()
 	defer w.done()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, protocol.MaxBody+1))
+	if resp.Close {
+		w.because("peer-asked")
+	}
+	body, err := readBody(resp.Body, resp.ContentLength)
 	res := protocol.ResultOf(resp.StatusCode, resp.Header.Get(protocol.HeaderRejected))
 	switch {
 	case res != brain.OK:
@@ -130,6 +134,7 @@
 	case err != nil:
 		return routing.TryResult{Result: w.failed(err)}
 	case len(body) > protocol.MaxBody:
+		w.because("oversize")
 		return routing.TryResult{Result: brain.Errored}
 	}
 	return routing.TryResult{Result: brain.OK, Reply: &reply{header: endToEnd(resp.Header), body: body}}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -8,19 +8,24 @@
 	"sync"
 )
 
+// overflow is how many client connections beyond the bound are taken to be turned away.
+const overflow = 32
+
 // clients bounds the client connections. When they are as many as may be, the
 // one idle for the longest makes room, which costs its client a new connection
-// at most; if none is idle, a new one waits and the rest in the listener's queue.
+// at most. If none is idle, a few more are taken for a quick reject,
+// since what a client has sent on a connection in the listener's queue counts as
+// taken too; beyond that, new ones wait.
 type clients struct {
 	net.Listener
 	log *slog.Logger
 	max int
 
-	mu     sync.Mutex
-	room   sync.Cond
-	open   map[*clientConn]*list.Element // in idle, or nil
-	idle   list.List                     // the longest idle first
-	closed bool
+	mu              sync.Mutex
+	room            sync.Cond
+	open            map[*clientConn]*list.Element // in idle, or nil
+	idle            list.List                     // the longest idle first
+	closed, leaving bool
 }
 
 func newClients(l net.Listener, most int, log *slog.Logger) *clients {
@@ -36,7 +41,7 @@
 		return nil, err
 	}
 	c.makeRoom()
-	k := &clientConn{Conn: conn}
+	k := &clientConn{Conn: conn, all: c}
 	k.life = newLife(c.log, "client", conn.RemoteAddr().String(), func() { c.forget(k) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -44,12 +49,39 @@
 	return k, nil
 }
 
+// crowded reports whether calls must be turned away to keep the bound.
+func (c *clients) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) > c.max
+}
+
+// leave notes that the node closes client connections from now on.
+func (c *clients) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+}
+
+// why is the reason of a connection that the node closes.
+func (c *clients) why() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return "drain"
+	}
+	return "node-closed"
+}
+
 func (c *clients) makeRoom() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.open) >= c.max && !c.closed { // the new one waits here
+	for len(c.open) >= c.max && !c.closed {
 		first := c.idle.Front()
 		if first == nil {
+			if len(c.open) < c.max+overflow {
+				return
+			}
 			c.room.Wait()
 			continue
 		}
@@ -107,6 +139,7 @@
 type clientConn struct {
 	net.Conn
 	life *life
+	all  *clients
 }
 
 func (c *clientConn) Read(b []byte) (int, error) {
@@ -124,6 +157,6 @@
 }
 
 func (c *clientConn) Close() error {
-	c.life.end("node-closed")
+	c.life.end(c.all.why())
 	return c.Conn.Close()
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -22,10 +21,12 @@
 const (
 	drainKeep   = 500 * time.Millisecond // new connections keep coming for up to 0.4 s
 	drainAccept = 800 * time.Millisecond // calls that come within 0.7 s are still owed an answer
-	drainSpare  = 600 * time.Millisecond // beyond the longest deadline; the kill comes 0.7 s beyond
-	drainMost   = 3 * time.Second        // a longer deadline counts as this
+	drainSpare  = 2 * time.Second        // beyond the longest deadline: no open call is ever cut off
 )
 
+// shedRetryAfter is when a client turned away for want of descriptors should come back.
+const shedRetryAfter = 500 * time.Millisecond
+
 // Taker takes calls: routing's first stage.
 type Taker interface {
 	Take(ctx context.Context, c routing.Call) (a routing.Answer, ok bool)
@@ -40,6 +41,7 @@
 	clients *clients
 	leaving atomic.Bool
 	badly   atomic.Int64 // requests answered with a plain 4xx
+	shed    atomic.Int64 // requests turned away for want of descriptors
 }
 
 // NewFront makes a front for at most maxClients client connections on l.
@@ -51,7 +53,9 @@
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ReadHeaderTimeout: 10 * time.Second,
 		ReadTimeout:       20 * time.Second,
+		WriteTimeout:      30 * time.Second,
 		IdleTimeout:       5 * time.Minute,
+		MaxHeaderBytes:    32 << 10,
 	}
 	return f
 }
@@ -64,19 +68,23 @@
 	return nil
 }
 
+// Shed counts the requests turned away for want of descriptors.
+func (f *Front) Shed() int64 { return f.shed.Load() }
+
 // Malformed counts the requests answered with a plain 4xx.
 func (f *Front) Malformed() int64 { return f.badly.Load() }
 
 // Drain ends the front at a planned restart. Clients still arrive for a while,
 // so it goes on accepting; then it closes client connections as they fall idle,
-// stops accepting, and waits for what is open, until shortly before the kill.
+// stops accepting, and waits for what is open.
 func (f *Front) Drain(longest time.Duration) {
 	f.leaving.Store(true)
-	kill := time.Now().Add(min(longest, drainMost) + drainSpare)
+	end := time.Now().Add(longest + drainSpare)
 	time.Sleep(drainKeep)
+	f.clients.leave()
 	f.server.SetKeepAlivesEnabled(false)
 	time.Sleep(drainAccept - drainKeep)
-	ctx, stop := context.WithDeadline(context.Background(), kill)
+	ctx, stop := context.WithDeadline(context.Background(), end)
 	defer stop()
 	if err := f.server.Shutdown(ctx); err != nil {
 		f.log.Warn("calls were open at the end", "reason", err.Error())
@@ -98,6 +106,12 @@
 		}
 		return
 	}
+	if f.clients.crowded() { // guards the descriptors: no try, and room for the next
+		f.shed.Add(1)
+		w.Header().Set("Connection", "close")
+		f.answer(w, routing.Answer{Verdict: routing.Reject, RetryAfter: shedRetryAfter})
+		return
+	}
 	call, status, err := f.read(r)
 	if err != nil {
 		f.badly.Add(1)
@@ -127,7 +141,7 @@
 	if r.ContentLength > protocol.MaxBody {
 		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody+1))
+	body, err := readBody(r.Body, r.ContentLength)
 	switch {
 	case err != nil:
 		return call, http.StatusBadRequest, fmt.Errorf("body: %w", err)
--- a/internal/transport/message.go
+++ b/internal/transport/message.go
@@ -4,10 +4,13 @@
 package transport
 
 import (
+	"io"
 	"maps"
 	"net/http"
 	"net/textproto"
 	"strings"
+
+	"olivebridge/internal/protocol"
 )
 
 // message is a client's request as it came; it is a call's payload.
@@ -37,3 +40,23 @@
 	}
 	return out
 }
+
+// readBody reads a body of at most protocol.MaxBody bytes, or one byte more,
+// which shows that it is too large. length is what its head announced; -1: nothing.
+// Room is made once where it is known: growing buffers of many calls at a time
+// would take much of a small machine's memory.
+func readBody(r io.Reader, length int64) ([]byte, error) {
+	limited := io.LimitReader(r, protocol.MaxBody+1)
+	if length < 0 || length > protocol.MaxBody {
+		return io.ReadAll(limited)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(limited, body); err != nil {
+		return nil, err
+	}
+	_, err := limited.Read(make([]byte, 1)) // the end of the body frees its connection
+	if err == io.EOF {
+		err = nil
+	}
+	return body, err
+}
--- a/internal/transport/peerconn.go
+++ b/internal/transport/peerconn.go
@@ -102,6 +102,13 @@
 	}
 }
 
+// because notes why the connection that carries the try is about to end.
+func (w *writing) because(reason string) {
+	if c := w.conn.Load(); c != nil {
+		c.life.because(reason)
+	}
+}
+
 // failed says what an exchange without a whole answer means. From then on
 // nothing more is written.
 func (w *writing) failed(err error) brain.Result {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -423,6 +423,28 @@
 	log.until("side=client", "reason=client-closed")
 }
 
+// TestCrowded: with no idle client connection to close, a call beyond the bound
+// is turned away at once instead of waiting unseen in the listener's queue.
+func TestCrowded(t *testing.T) {
+	taken, release := make(chan bool), make(chan bool)
+	addr, front, _ := newFront(t, 1, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
+		taken <- true
+		<-release
+		return routing.Answer{Verdict: routing.Failed}, true
+	})
+	first := dial(t, addr)
+	io.WriteString(first, head+"Content-Length: 0\r\n\r\n")
+	<-taken
+	resp, _ := dial(t, addr).ask(t, head+"Content-Length: 0\r\n\r\n")
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "0.500" || !resp.Close || front.Shed() != 1 {
+		t.Errorf("%d %v, %d shed", resp.StatusCode, resp.Header, front.Shed())
+	}
+	close(release)
+	if resp, err := http.ReadResponse(first.in, nil); err != nil || resp.StatusCode != 502 {
+		t.Errorf("the first: %v", err)
+	}
+}
+
 // TestClientsBounded: one connection too many closes the one idle for longest.
 func TestClientsBounded(t *testing.T) {
 	addr, _, log := newFront(t, 2, nil)
@@ -442,6 +464,21 @@
 	}
 }
 
+// TestSilentWatch: a call that never comes back is asked again at once, once.
+func TestSilentWatch(t *testing.T) {
+	asked := make(chan bool, 10)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- true
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, 1)
+	w.wait, w.slack = 20*time.Millisecond, 20*time.Millisecond
+	if err := w.Watch(t.Context(), nil); err == nil || len(asked) != 2 {
+		t.Errorf("%v after %d calls, want 2", err, len(asked))
+	}
+}
+
 // TestWatch: each call names the version held; a faulty answer ends the watch
 // and leaves the version, so that nothing is skipped.
 func TestWatch(t *testing.T) {
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -30,12 +31,14 @@
 	names   protocol.Names
 	client  *http.Client
 	version int64 // of the list held; -1: none
+	wait    time.Duration
+	slack   time.Duration
 }
 
 // NewWatch makes a watch that goes on from a known version, or from none if
 // that is negative.
 func NewWatch(addr string, names protocol.Names, version int64) *Watch {
-	return &Watch{addr: addr, names: names, version: version, client: &http.Client{
+	return &Watch{addr: addr, names: names, version: version, wait: watchWait, slack: watchSlack, client: &http.Client{
 		Transport: &http.Transport{
 			DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
 			DisableCompression: true,
@@ -45,12 +48,20 @@
 }
 
 // Watch implements routing.Watcher: each call follows the last answer at once.
+// A call that never came back is asked again at once, on a new connection, for
+// what it should have told counts as told; any other failure ends the watch.
 func (w *Watch) Watch(ctx context.Context, told func(routing.Group)) error {
+	silent := false
 	for {
 		g, version, err := w.call(ctx)
+		if errors.Is(err, context.DeadlineExceeded) && !silent {
+			silent = true
+			continue
+		}
 		if err != nil {
 			return err
 		}
+		silent = false
 		w.version = version
 		told(g)
 	}
@@ -58,12 +69,12 @@
 
 // call asks once: for what is newer than the version held, or for the whole list.
 func (w *Watch) call(ctx context.Context) (g routing.Group, version int64, err error) {
-	ctx, stop := context.WithTimeout(ctx, watchWait+watchSlack)
+	ctx, stop := context.WithTimeout(ctx, w.wait+w.slack)
 	defer stop()
 	u := url.URL{Scheme: "http", Host: w.addr, Path: protocol.PathGroup}
 	if w.version >= 0 {
 		u.RawQuery = "after=" + strconv.FormatInt(w.version, 10) +
-			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+			"&wait_ms=" + strconv.FormatInt(w.wait.Milliseconds(), 10)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
