--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1124,3 +1124,27 @@
 		}
 	}
 }
+
+// TestConstantsAreOnThePage keeps the module's figures and the design page in step.
+func TestConstantsAreOnThePage(t *testing.T) {
+	code, err := os.ReadFile("brain.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../docs/DESIGN.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	block := regexp.MustCompile(`(?s)\nconst \((.*?)\n\)`).FindSubmatch(code)
+	if block == nil {
+		t.Fatal("no block of constants found")
+	}
+	for _, line := range strings.Split(strings.TrimSpace(string(block[1])), "\n") {
+		names, _, _ := strings.Cut(strings.ReplaceAll(line, "uint64", ""), "=")
+		for _, name := range strings.FieldsFunc(names, func(c rune) bool { return c == ',' || c == ' ' || c == '\t' }) {
+			if !bytes.Contains(page, []byte("`"+name+"`")) {
+				t.Errorf("constant %s is not on the design page", name)
+			}
+		}
+	}
+}
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -45,8 +45,8 @@
 		// Proxy, TLS and HTTP/2 stay off: peers speak HTTP/1.1 over plain TCP.
 		DialContext:         k.dial,
 		DisableCompression:  true, // or it would ask for gzip and unpack the body
-		MaxIdleConns:        max(c.MaxConns/2, 1),
-		MaxIdleConnsPerHost: max(c.MaxConns/2, 1),
+		MaxIdleConns:        max(c.MaxConns*3/4, 1),
+		MaxIdleConnsPerHost: max(c.MaxConns*3/4, 1),
 		IdleConnTimeout:     c.IdleClose * 7 / 10, // safely before the peer closes: a request crossing that is reset
 		ReadBufferSize:      8 << 10,
 		WriteBufferSize:     8 << 10,
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -515,3 +517,29 @@
 		}
 	}
 }
+
+// TestReasonsAreOnThePage keeps the reason codes and the on-call page in step.
+func TestReasonsAreOnThePage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/ONCALL.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	reason := regexp.MustCompile(`(?:because\(|life\.end\(|read\(err, |return )"([a-z-]+)"(?:, "([a-z-]+)")?`)
+	found := 0
+	for _, name := range []string{"carrier.go", "clients.go", "peerconn.go"} {
+		code, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range reason.FindAllSubmatch(code, -1) {
+			for _, code := range m[1:] {
+				if found++; len(code) > 0 && !bytes.Contains(page, []byte("| `"+string(code)+"` |")) {
+					t.Errorf("reason %s is not on the on-call page", code)
+				}
+			}
+		}
+	}
+	if found < 10 {
+		t.Errorf("only %d reasons found in the code", found)
+	}
+}
