Be ready only once the upstream group is known; hold out against a lost log reader

From a second reading: a node without any peer said that it was ready; a peer that answers 101 would have kept its try open past its deadline; the head of a peer's answer had no bound. Checked: TestLogReaderGone fails with 'signal: broken pipe' when SIGPIPE is not ignored in cmd/olivebridge/main.go.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1104,16 +1104,18 @@
 func (idle) SetTimer(time.Duration, uint64)  {}
 func (idle) Log(string)                      {}
 
-// TestLogLinesAreOnThePage keeps the module's log lines and the on-call page in step.
-func TestLogLinesAreOnThePage(t *testing.T) {
-	code, err := os.ReadFile("brain.go")
-	if err != nil {
-		t.Fatal(err)
-	}
-	page, err := os.ReadFile("../docs/ONCALL.md")
+func text(t *testing.T, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return data
+}
+
+// TestLogLinesAreOnThePage keeps the module's log lines and the on-call page in step.
+func TestLogLinesAreOnThePage(t *testing.T) {
+	code, page := text(t, "brain.go"), text(t, "../docs/ONCALL.md")
 	lines := regexp.MustCompile(`b\.log\("([^"]+)"`).FindAllSubmatch(code, -1)
 	if len(lines) == 0 {
 		t.Fatal("no log line found")
@@ -1127,14 +1129,7 @@
 
 // TestConstantsAreOnThePage keeps the module's figures and the design page in step.
 func TestConstantsAreOnThePage(t *testing.T) {
-	code, err := os.ReadFile("brain.go")
-	if err != nil {
-		t.Fatal(err)
-	}
-	page, err := os.ReadFile("../docs/DESIGN.md")
-	if err != nil {
-		t.Fatal(err)
-	}
+	code, page := text(t, "brain.go"), text(t, "../docs/DESIGN.md")
 	block := regexp.MustCompile(`(?s)\nconst \((.*?)\n\)`).FindSubmatch(code)
 	if block == nil {
 		t.Fatal("no block of constants found")
--- a/cmd/olivebridge/main_test.go
+++ b/cmd/olivebridge/main_test.go
@@ -39,6 +39,7 @@
 type node struct {
 	cmd   *exec.Cmd
 	addr  string
+	log   io.Closer
 	lines chan string // what it writes, closed at its end
 }
 
@@ -72,6 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	n.log = out
 	if err := n.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -173,6 +175,20 @@
 	}
 }
 
+// TestLogReaderGone: a log that nobody reads any more must not end the node.
+func TestLogReaderGone(t *testing.T) {
+	n := start(t, func(http.ResponseWriter, *http.Request) {})
+	n.log.Close()
+	n.cmd.Process.Signal(syscall.SIGUSR1)
+	if status, _ := n.ask(t, "GET", "/api", "status", ""); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	n.cmd.Process.Signal(syscall.SIGTERM)
+	if err := n.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
 // TestBadStart: one clear line and a non-zero exit code.
 func TestBadStart(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"olivebridge/brain"
 )
@@ -27,10 +28,10 @@
 	e, now := a.e, r.now()
 	r.lastID++
 	e.id = r.lastID
-	e.deadline = brain.Time(e.Arrived.Sub(r.start)) + brain.Time(r.start.UnixNano()) + brain.Time(e.Budget-answerMargin)
+	e.deadline = r.brainTime(e.Arrived.Add(e.Budget - answerMargin))
 	r.open[e.id] = e
 	r.brain.Request(now, brain.Request{
-		ID: e.id, Budget: max(0, brainLeft(e.deadline, now)), Key: e.Key,
+		ID: e.id, Budget: time.Duration(max(e.deadline-now, 0)), Key: e.Key,
 		Class: e.Class, Tenant: e.Tenant, Repeat: e.Repeat,
 	})
 }
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -86,6 +86,9 @@
 		}
 	}
 	r.brain.List(r.now(), g.Kind, servers)
+	if len(r.peers) > 0 {
+		r.ready.Store(true)
+	}
 }
 
 // Mark notes from when on a peer leaves; the first telling counts.
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"olivebridge/brain"
 )
@@ -25,6 +24,3 @@
 	r.count.Tries.Add(1)
 	r.send(ctx, e, len(e.tries)-1, Try{Peer: p, Until: r.instant(until), Payload: e.Payload})
 }
-
-// brainLeft is the time from now to t.
-func brainLeft(t, now brain.Time) time.Duration { return time.Duration(t - now) }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"olivebridge/brain"
@@ -38,6 +39,7 @@
 	log     *slog.Logger
 	count   *Counters
 	start   time.Time
+	ready   atomic.Bool
 	events  chan event
 	stopped chan struct{}
 
@@ -58,16 +60,22 @@
 	}
 }
 
+// Ready reports whether calls can be decided: the upstream group is known.
+func (r *Router) Ready() bool { return r.ready.Load() }
+
 // Counters are safe to read at any time.
 func (r *Router) Counters() *Counters { return r.count }
 
 // now is the Balancer's time: the wall clock at the start, run on by the
 // monotonic clock, so that it never goes back and peers' starts compare with it.
-func (r *Router) now() brain.Time {
-	return brain.Time(r.start.UnixNano()) + brain.Time(time.Since(r.start))
+func (r *Router) now() brain.Time { return r.brainTime(time.Now()) }
+
+// brainTime turns the clock's time into the Balancer's.
+func (r *Router) brainTime(t time.Time) brain.Time {
+	return brain.Time(r.start.UnixNano()) + brain.Time(t.Sub(r.start))
 }
 
-// instant turns the Balancer's time into the clock's.
+// instant turns it back.
 func (r *Router) instant(t brain.Time) time.Time {
 	return r.start.Add(time.Duration(t - brain.Time(r.start.UnixNano())))
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -256,6 +256,23 @@
 
 func (l look) handle(r *Router) { l(r) }
 
+// TestReady: a node that knows no peer must not be sent clients yet.
+func TestReady(t *testing.T) {
+	lists := make(scripted)
+	r := newRouter(nil, listed())
+	r.watcher = lists
+	go r.Run(t.Context())
+	for _, g := range []Group{listed(), listed(7)} {
+		lists <- g
+		lists <- Group{Kind: brain.Delta}
+		seen := make(chan bool)
+		r.post(look(func(r *Router) { seen <- r.Ready() }))
+		if got := <-seen; got != (len(g.Entries) > 0) {
+			t.Errorf("ready: %v with %d peers", got, len(g.Entries))
+		}
+	}
+}
+
 // scripted tells lists as the test sends them, and breaks on an error.
 type scripted chan any
 
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -43,13 +43,14 @@
 	k := &Carrier{config: c}
 	k.transport = &http.Transport{
 		// Proxy, TLS and HTTP/2 stay off: peers speak HTTP/1.1 over plain TCP.
-		DialContext:         k.dial,
-		DisableCompression:  true, // or it would ask for gzip and unpack the body
-		MaxIdleConns:        max(c.MaxConns*3/4, 1),
-		MaxIdleConnsPerHost: max(c.MaxConns*3/4, 1),
-		IdleConnTimeout:     c.IdleClose * 7 / 10, // safely before the peer closes: a request crossing that is reset
-		ReadBufferSize:      8 << 10,
-		WriteBufferSize:     8 << 10,
+		DialContext:            k.dial,
+		DisableCompression:     true, // or it would ask for gzip and unpack the body
+		MaxIdleConns:           max(c.MaxConns*3/4, 1),
+		MaxIdleConnsPerHost:    max(c.MaxConns*3/4, 1),
+		IdleConnTimeout:        c.IdleClose * 7 / 10, // safely before the peer closes: a request crossing that is reset
+		MaxResponseHeaderBytes: 64 << 10,
+		ReadBufferSize:         8 << 10,
+		WriteBufferSize:        8 << 10,
 	}
 	return k
 }
@@ -123,6 +124,10 @@
 	}
 	defer resp.Body.Close()
 	defer w.done()
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		// such a body has no end, and a cancelled context would not give it one
+		return routing.TryResult{Result: brain.Errored}
+	}
 	if resp.Close {
 		w.because("peer-asked")
 	}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -27,9 +27,10 @@
 // shedRetryAfter is when a client turned away for want of descriptors should come back.
 const shedRetryAfter = 500 * time.Millisecond
 
-// Taker takes calls: routing's first stage.
+// Taker takes calls, once it is ready: routing's first stage.
 type Taker interface {
 	Take(ctx context.Context, c routing.Call) (a routing.Answer, ok bool)
+	Ready() bool
 }
 
 // Front is the HTTP server that client connections reach.
@@ -101,7 +102,7 @@
 		}
 	}()
 	if r.URL.Path == protocol.PathReady {
-		if f.leaving.Load() {
+		if f.leaving.Load() || !f.taker.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -149,6 +149,7 @@
 		"turned away":         {"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", brain.Rejected},
 		"503 without proof":   {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", brain.Errored},
 		"redirect":            {"HTTP/1.1 302 X\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n", brain.Errored},
+		"other protocol":      {"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", brain.Errored},
 		"break after sending": {"", brain.Reset},
 		"body cut short":      {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", brain.Reset},
 		"not HTTP":            {"cut\r\n\r\n", brain.Reset},
@@ -300,6 +301,8 @@
 
 func (f taker) Take(ctx context.Context, c routing.Call) (routing.Answer, bool) { return f(ctx, c) }
 
+func (f taker) Ready() bool { return true }
+
 func newFront(t *testing.T, most int, f taker) (addr string, front *Front, log lines) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
