Close idle client connections without racing a request that is being read

Found by reading net/http: it marks a connection active only once a request's head is parsed, so closing what it calls idle (Shutdown, SetKeepAlivesEnabled, and our eviction in clients.go) can hit a connection whose request it goes on to serve. The client would send that request again, and an unsafe one could run twice. Now a connection is idle only while no byte of a request was read, and no byte is read once its end is decided. The drain closes connections by that rule and no longer uses Shutdown. TestEndAgainstRequest holds both sides of the race still. Connections to discovery leave their line too.

--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -49,7 +49,7 @@
 	})
 	router := routing.New(routing.Config{
 		Settings: c.Settings, Seed: c.Seed, Known: c.Known, Carrier: carrier,
-		Watcher: transport.NewWatch(c.Discovery, c.Names, c.KnownVersion), Log: log,
+		Watcher: transport.NewWatch(c.Discovery, c.Names, c.KnownVersion, log), Log: log,
 	})
 	front := transport.NewFront(listener, c.Names, router, descriptors, log)
 
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -11,26 +12,33 @@
 // overflow is how many client connections beyond the bound are taken to be turned away.
 const overflow = 32
 
-// clients bounds the client connections. When they are as many as may be, the
-// one idle for the longest makes room, which costs its client a new connection
-// at most. If none is idle, a few more are taken for a quick reject,
-// since what a client has sent on a connection in the listener's queue counts as
-// taken too; beyond that, new ones wait.
+// clients bounds the client connections and closes them at need. When they are
+// as many as may be, the one idle for the longest makes room, which costs its
+// client a new connection at most. If none is idle, a few more are taken for a
+// quick reject, since what a client has sent on a connection in the listener's
+// queue counts as taken too; beyond that, new ones wait.
+//
+// http.Server could close idle connections itself, but it holds one for idle
+// until a request's head is read: it may close one whose request it goes on to
+// serve, and the client sends that request again. Here a connection is idle
+// only while no byte of a request has been read, and once its end is decided
+// no byte is read any more.
 type clients struct {
 	net.Listener
 	log *slog.Logger
 	max int
 
-	mu              sync.Mutex
-	room            sync.Cond
-	open            map[*clientConn]*list.Element // in idle, or nil
-	idle            list.List                     // the longest idle first
-	closed, leaving bool
+	mu      sync.Mutex
+	changed sync.Cond
+	open    map[*clientConn]bool
+	idle    list.List // the longest idle first
+	closed  bool      // the listener
+	leaving bool      // the node closes what is idle
 }
 
 func newClients(l net.Listener, most int, log *slog.Logger) *clients {
-	c := &clients{Listener: l, max: max(most, 1), log: log, open: map[*clientConn]*list.Element{}}
-	c.room.L = &c.mu
+	c := &clients{Listener: l, max: max(most, 1), log: log, open: map[*clientConn]bool{}}
+	c.changed.L = &c.mu
 	return c
 }
 
@@ -45,10 +53,49 @@
 	k.life = newLife(c.log, "client", conn.RemoteAddr().String(), func() { c.forget(k) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open[k] = nil
+	c.open[k] = true
 	return k, nil
 }
 
+func (c *clients) makeRoom() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.open) >= c.max && !c.closed {
+		if first := c.idle.Front(); first != nil {
+			c.end("evicted", first.Value.(*clientConn))
+		} else if len(c.open) < c.max+overflow {
+			return
+		} else {
+			c.changed.Wait()
+		}
+	}
+}
+
+// end closes connections on which no byte of a request was read. The lock is
+// held, but for the closing itself.
+func (c *clients) end(reason string, some ...*clientConn) {
+	for _, k := range some {
+		k.gone = true
+		c.setIdle(k, false)
+	}
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	for _, k := range some {
+		k.life.because(reason)
+		k.Close()
+	}
+}
+
+func (c *clients) setIdle(k *clientConn, idle bool) {
+	switch {
+	case idle && k.place == nil:
+		k.place = c.idle.PushBack(k)
+	case !idle && k.place != nil:
+		c.idle.Remove(k.place)
+		k.place = nil
+	}
+}
+
 // crowded reports whether calls must be turned away to keep the bound.
 func (c *clients) crowded() bool {
 	c.mu.Lock()
@@ -56,49 +103,58 @@
 	return len(c.open) > c.max
 }
 
-// leave notes that the node closes client connections from now on.
+// leaves reports whether the node closes client connections by now.
+func (c *clients) leaves() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving
+}
+
+// leave closes every connection that carries nothing. Later ones end with
+// their answer.
 func (c *clients) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving = true
+	c.endIdle()
 }
 
-// why is the reason of a connection that the node closes.
-func (c *clients) why() string {
+// drain goes on with that until none is open or ctx ends, and returns how many are.
+func (c *clients) drain(ctx context.Context) int {
+	defer context.AfterFunc(ctx, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.changed.Broadcast()
+	})()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leaving {
-		return "drain"
+	for len(c.open) > 0 && ctx.Err() == nil {
+		if !c.endIdle() {
+			c.changed.Wait()
+		}
 	}
-	return "node-closed"
+	return len(c.open)
 }
 
-func (c *clients) makeRoom() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.open) >= c.max && !c.closed {
-		first := c.idle.Front()
-		if first == nil {
-			if len(c.open) < c.max+overflow {
-				return
-			}
-			c.room.Wait()
-			continue
+// endIdle ends what carries nothing and reports whether there was any. The lock is held.
+func (c *clients) endIdle() bool {
+	var some []*clientConn
+	for k := range c.open {
+		if !k.active && !k.gone {
+			some = append(some, k)
 		}
-		k := c.idle.Remove(first).(*clientConn)
-		c.open[k] = nil
-		c.mu.Unlock()
-		k.life.because("evicted")
-		k.Close()
-		c.mu.Lock()
 	}
+	if len(some) > 0 {
+		c.end("drain", some...)
+	}
+	return len(some) > 0
 }
 
 // Close implements net.Listener.
 func (c *clients) Close() error {
 	c.mu.Lock()
 	c.closed = true
-	c.room.Broadcast()
+	c.changed.Broadcast()
 	c.mu.Unlock()
 	return c.Listener.Close()
 }
@@ -106,57 +162,77 @@
 func (c *clients) forget(k *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e := c.open[k]; e != nil {
-		c.idle.Remove(e)
-	}
+	c.setIdle(k, false)
 	delete(c.open, k)
-	c.room.Broadcast()
+	c.changed.Broadcast()
 }
 
-// state follows http.Server's connection states.
+// state hears from http.Server when a connection has carried its answer.
 func (c *clients) state(conn net.Conn, s http.ConnState) {
 	k, ok := conn.(*clientConn)
-	if !ok {
+	if !ok || s != http.StateIdle {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e, open := c.open[k]
-	if !open {
-		return
-	}
-	switch {
-	case s == http.StateIdle && e == nil:
-		c.open[k] = c.idle.PushBack(k)
-		c.room.Broadcast()
-	case s != http.StateIdle && e != nil:
-		c.idle.Remove(e)
-		c.open[k] = nil
-	}
+	k.active, k.whole, k.next = k.next, false, false
+	c.setIdle(k, !k.active && c.open[k])
+	c.changed.Broadcast()
 }
 
-// clientConn is a client connection.
+// clientConn is a client connection. Its marks belong to the lock of all.
 type clientConn struct {
 	net.Conn
 	life *life
 	all  *clients
+
+	place  *list.Element // in the list of idle ones; nil: not there
+	active bool          // a byte of an unanswered request has been read
+	whole  bool          // that request has been read whole
+	next   bool          // a byte of the one after it has been read
+	gone   bool          // its end is decided
 }
 
-func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.life.read(err, "client-closed", "client-reset")
+// Read implements net.Conn. Bytes that come once the end is decided are not
+// taken: their request must not be served, since its client sends it again.
+func (k *clientConn) Read(b []byte) (int, error) {
+	n, err := k.Conn.Read(b)
+	k.life.read(err, "client-closed", "client-reset")
+	if n == 0 {
+		return n, err
+	}
+	k.all.mu.Lock()
+	defer k.all.mu.Unlock()
+	if k.gone {
+		return 0, net.ErrClosed
+	}
+	k.active, k.next = true, k.next || k.whole
+	k.all.setIdle(k, false)
 	return n, err
 }
 
-func (c *clientConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
+// requestRead notes that all bytes from now on are of the next request.
+func (k *clientConn) requestRead() {
+	k.all.mu.Lock()
+	defer k.all.mu.Unlock()
+	k.whole = true
+}
+
+// Write implements net.Conn.
+func (k *clientConn) Write(b []byte) (int, error) {
+	n, err := k.Conn.Write(b)
 	if err != nil {
-		c.life.because("client-gone")
+		k.life.because("client-gone")
 	}
 	return n, err
 }
 
-func (c *clientConn) Close() error {
-	c.life.end(c.all.why())
-	return c.Conn.Close()
+// Close implements net.Conn.
+func (k *clientConn) Close() error {
+	reason := "node-closed"
+	if k.all.leaves() {
+		reason = "drain"
+	}
+	k.life.end(reason)
+	return k.Conn.Close()
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -27,6 +28,9 @@
 // shedRetryAfter is when a client turned away for want of descriptors should come back.
 const shedRetryAfter = 500 * time.Millisecond
 
+// connKey finds a request's client connection in its context.
+type connKey struct{}
+
 // Taker takes calls, once it is ready: routing's first stage.
 type Taker interface {
 	Take(ctx context.Context, c routing.Call) (a routing.Answer, ok bool)
@@ -49,8 +53,11 @@
 func NewFront(l net.Listener, names protocol.Names, taker Taker, maxClients int, log *slog.Logger) *Front {
 	f := &Front{names: names, taker: taker, log: log, clients: newClients(l, maxClients, log)}
 	f.server = &http.Server{
-		Handler:           f,
-		ConnState:         f.clients.state,
+		Handler:   f,
+		ConnState: f.clients.state,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ReadHeaderTimeout: 10 * time.Second,
 		ReadTimeout:       20 * time.Second,
@@ -63,10 +70,11 @@
 
 // Serve serves until Drain or Close.
 func (f *Front) Serve() error {
-	if err := f.server.Serve(f.clients); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("front: %w", err)
+	err := f.server.Serve(f.clients)
+	if f.leaving.Load() || errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
-	return nil
+	return fmt.Errorf("front: %w", err)
 }
 
 // Shed counts the requests turned away for want of descriptors.
@@ -80,17 +88,16 @@
 // stops accepting, and waits for what is open.
 func (f *Front) Drain(longest time.Duration) {
 	f.leaving.Store(true)
-	end := time.Now().Add(longest + drainSpare)
+	ctx, stop := context.WithTimeout(context.Background(), longest+drainSpare)
+	defer stop()
 	time.Sleep(drainKeep)
 	f.clients.leave()
-	f.server.SetKeepAlivesEnabled(false)
 	time.Sleep(drainAccept - drainKeep)
-	ctx, stop := context.WithDeadline(context.Background(), end)
-	defer stop()
-	if err := f.server.Shutdown(ctx); err != nil {
-		f.log.Warn("calls were open at the end", "reason", err.Error())
-		f.server.Close()
+	f.clients.Close()
+	if left := f.clients.drain(ctx); left > 0 {
+		f.log.Warn("client connections were open at the end", "left", left)
 	}
+	f.server.Close()
 }
 
 // ServeHTTP implements http.Handler.
@@ -150,6 +157,9 @@
 		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
 	}
 	call.Arrived = time.Now()
+	if k, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		k.requestRead()
+	}
 	call.Payload = &message{
 		method: r.Method, target: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body,
 	}
@@ -159,12 +169,15 @@
 // answer writes the one final answer.
 func (f *Front) answer(w http.ResponseWriter, a routing.Answer) {
 	h := w.Header()
+	if a.Verdict == routing.Served {
+		maps.Copy(h, a.Reply.(*reply).header)
+	}
+	if f.clients.leaves() {
+		h.Set("Connection", "close")
+	}
 	switch a.Verdict {
 	case routing.Served:
 		p := a.Reply.(*reply)
-		for name, values := range p.header {
-			h[name] = values
-		}
 		h.Set("Content-Length", strconv.Itoa(len(p.body)))
 		w.Write(p.body) // an error here is the client's going; its connection's line tells
 		return
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -450,6 +450,50 @@
 	}
 }
 
+// TestEndAgainstRequest guards against a connection that is closed as idle while
+// its request is being read: served once already, it would be sent again.
+func TestEndAgainstRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newClients(l, 5, slog.New(slog.DiscardHandler))
+	defer c.Close()
+	accept := func() *clientConn {
+		io.WriteString(dial(t, l.Addr().String()), "ab")
+		conn, err := c.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn.(*clientConn)
+	}
+	b := make([]byte, 1)
+	begun, decided, early := accept(), accept(), accept()
+	for _, k := range []*clientConn{begun, early} { // early: its next request comes before it counts as idle
+		k.Read(b)
+	}
+	early.requestRead()
+	early.Read(b)
+	for _, k := range []*clientConn{decided, early} {
+		c.state(k, http.StateIdle)
+	}
+	decided.gone = true // as leave does, just before it closes
+	if n, err := decided.Read(b); n != 0 || err != net.ErrClosed {
+		t.Errorf("%d bytes, %v after the end was decided", n, err)
+	}
+	decided.gone = false
+	c.leave()
+	if c.open[decided] || !c.open[begun] || !c.open[early] {
+		t.Errorf("open: %v", c.open)
+	}
+	c.state(begun, http.StateIdle)
+	early.requestRead()
+	c.state(early, http.StateIdle)
+	if left := c.drain(t.Context()); left != 0 {
+		t.Errorf("%d left", left)
+	}
+}
+
 // TestClientsBounded: one connection too many closes the one idle for longest.
 func TestClientsBounded(t *testing.T) {
 	addr, _, log := newFront(t, 2, nil)
@@ -477,7 +521,7 @@
 		<-r.Context().Done()
 	}))
 	defer s.Close()
-	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, 1)
+	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, 1, slog.New(slog.DiscardHandler))
 	w.wait, w.slack = 20*time.Millisecond, 20*time.Millisecond
 	if err := w.Watch(t.Context(), nil); err == nil || len(asked) != 2 {
 		t.Errorf("%v after %d calls, want 2", err, len(asked))
@@ -500,7 +544,7 @@
 		io.WriteString(w, a)
 	}))
 	defer s.Close()
-	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, -1)
+	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, -1, slog.New(slog.DiscardHandler))
 	var kinds []brain.ListKind
 	for range 3 { // the malformed list, the 503, what is no JSON
 		if err := w.Watch(t.Context(), func(g routing.Group) { kinds = append(kinds, g.Kind) }); err == nil {
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -37,10 +38,18 @@
 
 // NewWatch makes a watch that goes on from a known version, or from none if
 // that is negative.
-func NewWatch(addr string, names protocol.Names, version int64) *Watch {
+func NewWatch(addr string, names protocol.Names, version int64, log *slog.Logger) *Watch {
+	dialer := net.Dialer{Timeout: time.Second}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &peerConn{Conn: conn, life: newLife(log, "discovery", addr, func() {})}, nil
+	}
 	return &Watch{addr: addr, names: names, version: version, wait: watchWait, slack: watchSlack, client: &http.Client{
 		Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+			DialContext:        dial,
 			DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
