Test the drain and cold-start rules on the whole program; read a request before a shed

The program is started before a peer that discovery then drains, and before one that has just started: the first gets nothing, the second at most a fifth. A call turned away for want of descriptors is now read whole first, and client connections offer CloseWrite, so that unread bytes cannot make a reset that overtakes the answer (front.go, clients.go).

--- a/cmd/olivebridge/main_test.go
+++ b/cmd/olivebridge/main_test.go
@@ -13,8 +13,10 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // TestMain lets the tests start the program: this binary, told to be it.
@@ -30,7 +32,7 @@
 "known":{"version":1,"full":true,"servers":[%s]},
 "settings":{"classes":[{"name":"status","aim":5000000000,"deadline":9000000000,"gain":2,"idempotency":"pure"},
 {"name":"book","aim":1000000000,"deadline":1500000000,"gain":2,"idempotency":"side_effect"}],
-"contract":{"ask_every":10000000000,"cold":1000000000,"cold_share":0.14,"drain_grace":2500000000,"fall":3000000000,"overload_factor":2.5},
+"contract":{"ask_every":10000000000,"cold":20000000000,"cold_share":0.14,"drain_grace":2500000000,"fall":3000000000,"overload_factor":2.5},
 "discovery":"subscribe","limits":{"cancel":true,"connect_timeout":75000000,"idle_close":10000000000,"max_retry_after":1500000000,
 "probes":false,"retry_after":true,"second_copies":true,"try_limit":4},"n_instances":1,"kinds":["m1"],
 "tenants":[{"name":"acme","share":1}],"weights":"nominal","worth_by":"request","zone":0,"zones":["a"]}}`
@@ -59,16 +61,23 @@
 	return []string{"ROUTER_NAME=n0", "ROUTER_LISTEN=" + listen, "ROUTER_DISCOVERY=" + discovery, "ROUTER_CONFIG=" + path}
 }
 
-// start runs a node before one peer, and discovery that knows no more.
-func start(t *testing.T, peer http.HandlerFunc) *node {
+// start runs a node before peers, of which each but the first has only just started.
+func start(t *testing.T, discovery http.HandlerFunc, peers ...http.HandlerFunc) *node {
 	t.Helper()
-	server := httptest.NewServer(peer)
-	t.Cleanup(server.Close)
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
-	t.Cleanup(discovery.Close)
-	known := fmt.Sprintf(`{"id":"s-1","addr":%q,"zone":"a","kind":"m1","state":"Ready"}`, server.Listener.Addr())
+	list := httptest.NewServer(discovery)
+	t.Cleanup(list.Close)
+	var known []string
+	started := int64(0)
+	for i, peer := range peers {
+		server := httptest.NewServer(peer)
+		t.Cleanup(server.Close)
+		known = append(known, fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"a","kind":"m1","state":"Ready","started_ms":%d}`,
+			i, server.Listener.Addr(), started))
+		started = time.Now().UnixMilli()
+	}
 	n := &node{lines: make(chan string, 1000)}
-	n.cmd = program(t, environment(t, "127.0.0.1:0", discovery.Listener.Addr().String(), fmt.Sprintf(config, known))...)
+	n.cmd = program(t, environment(t, "127.0.0.1:0", list.Listener.Addr().String(),
+		fmt.Sprintf(config, strings.Join(known, ",")))...)
 	out, err := n.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -87,6 +96,9 @@
 	return n
 }
 
+// unchanged is discovery that has nothing new to tell.
+func unchanged(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
 // until waits for a line that holds text.
 func (n *node) until(t *testing.T, text string) string {
 	t.Helper()
@@ -125,7 +137,7 @@
 // open at SIGTERM its answer, as well as what comes shortly after.
 func TestProgram(t *testing.T) {
 	held, release := make(chan bool), make(chan bool)
-	n := start(t, func(w http.ResponseWriter, r *http.Request) {
+	n := start(t, unchanged, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		if r.URL.Path == "/held" {
 			held <- true
@@ -175,9 +187,45 @@
 	}
 }
 
+// TestDrainingPeer: once the upstream group says that a peer drains, it gets
+// nothing, and the client is told when to come back.
+func TestDrainingPeer(t *testing.T) {
+	var calls, tries atomic.Int64
+	told := make(chan bool)
+	n := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			io.WriteString(w, `{"version":2,"full":false,"servers":[{"id":"s-0","addr":"127.0.0.1:1","state":"Terminating"}]}`)
+			return
+		}
+		close(told) // the next call comes once the first answer was handed to the decisions
+		<-r.Context().Done()
+	}, func(http.ResponseWriter, *http.Request) { tries.Add(1) })
+	<-told
+	if status, _ := n.ask(t, "POST", "/api", "book", "x"); status != 503 || tries.Load() != 0 {
+		t.Errorf("status %d after %d tries", status, tries.Load())
+	}
+}
+
+// TestColdPeer: a peer that has only just started gets little at first. It
+// guards the way of started_ms to the decisions, whose time is monotonic.
+func TestColdPeer(t *testing.T) {
+	var warm, cold atomic.Int64
+	n := start(t, unchanged, func(http.ResponseWriter, *http.Request) { warm.Add(1) },
+		func(http.ResponseWriter, *http.Request) { cold.Add(1) })
+	const calls = 100
+	for range calls {
+		if status, _ := n.ask(t, "GET", "/api", "status", ""); status != 200 {
+			t.Fatalf("status %d", status)
+		}
+	}
+	if warm.Load()+cold.Load() != calls || cold.Load() > calls/5 {
+		t.Errorf("%d to the warm peer, %d to the cold one", warm.Load(), cold.Load())
+	}
+}
+
 // TestLogReaderGone: a log that nobody reads any more must not end the node.
 func TestLogReaderGone(t *testing.T) {
-	n := start(t, func(http.ResponseWriter, *http.Request) {})
+	n := start(t, unchanged, func(http.ResponseWriter, *http.Request) {})
 	n.log.Close()
 	n.cmd.Process.Signal(syscall.SIGUSR1)
 	if status, _ := n.ask(t, "GET", "/api", "status", ""); status != 200 {
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -227,6 +227,15 @@
 	return n, err
 }
 
+// CloseWrite lets http.Server end a connection on which bytes are still unread
+// without a reset, which could overtake the answer.
+func (k *clientConn) CloseWrite() error {
+	if c, ok := k.Conn.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (k *clientConn) Close() error {
 	reason := "node-closed"
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -114,12 +114,6 @@
 		}
 		return
 	}
-	if f.clients.crowded() { // guards the descriptors: no try, and room for the next
-		f.shed.Add(1)
-		w.Header().Set("Connection", "close")
-		f.answer(w, routing.Answer{Verdict: routing.Reject, RetryAfter: shedRetryAfter})
-		return
-	}
 	call, status, err := f.read(r)
 	if err != nil {
 		f.badly.Add(1)
@@ -129,6 +123,12 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	if f.clients.crowded() { // guards the descriptors: no try, and room for the next
+		f.shed.Add(1)
+		w.Header().Set("Connection", "close")
+		f.answer(w, routing.Answer{Verdict: routing.Reject, RetryAfter: shedRetryAfter})
+		return
+	}
 	a, ok := f.taker.Take(r.Context(), call)
 	if !ok { // nobody should read it, but net/http must not make it an empty 200
 		a = routing.Answer{Verdict: routing.Failed}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -440,7 +440,7 @@
 	first := dial(t, addr)
 	io.WriteString(first, head+"Content-Length: 0\r\n\r\n")
 	<-taken
-	resp, _ := dial(t, addr).ask(t, head+"Content-Length: 0\r\n\r\n")
+	resp, _ := dial(t, addr).ask(t, head+"Content-Length: 2\r\n\r\nhi")
 	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "0.500" || !resp.Close || front.Shed() != 1 {
 		t.Errorf("%d %v, %d shed", resp.StatusCode, resp.Header, front.Shed())
 	}
