Hold both forms of the settings to one meaning

A test decodes the same settings from the simulator's text and from the node's JSON. The table's entry is named openCall, since the upstream group has entries too.

--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -7,8 +7,8 @@
 	"olivebridge/brain"
 )
 
-// entry is an open call in the table.
-type entry struct {
+// openCall is a call in the table.
+type openCall struct {
 	Call
 	id       brain.RequestID
 	answer   chan Answer // holds one, so that giving it never waits
@@ -20,7 +20,7 @@
 
 // admitEvent is the second stage: the call enters the table and the Balancer
 // decides.
-type admitEvent struct{ e *entry }
+type admitEvent struct{ e *openCall }
 
 func (a admitEvent) call() brain.RequestID { return a.e.id }
 
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -10,7 +10,7 @@
 
 // book is the last stage: a call that is answered and has no try out leaves
 // the table.
-func (r *Router) book(e *entry) {
+func (r *Router) book(e *openCall) {
 	if e.answered && e.out == 0 {
 		delete(r.open, e.id)
 	}
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -34,7 +34,7 @@
 
 // relay gives a call its one answer. Outcome, hang-up and deadline may race:
 // only the first counts.
-func (r *Router) relay(e *entry, a Answer) {
+func (r *Router) relay(e *openCall, a Answer) {
 	if !e.answered {
 		e.answered = true
 		e.answer <- a
@@ -62,7 +62,7 @@
 }
 
 // hangUpEvent tells that nobody waits for the call any more.
-type hangUpEvent struct{ e *entry }
+type hangUpEvent struct{ e *openCall }
 
 func (h hangUpEvent) call() brain.RequestID { return h.e.id }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -46,7 +46,7 @@
 	ctx      context.Context
 	brain    *brain.Balancer
 	peers    map[brain.ServerID]*Peer
-	open     map[brain.RequestID]*entry
+	open     map[brain.RequestID]*openCall
 	lastID   brain.RequestID
 	watching bool
 }
@@ -56,7 +56,7 @@
 	return &Router{
 		set: c.Settings, seed: c.Seed, known: c.Known, carrier: c.Carrier, watcher: c.Watcher, log: c.Log,
 		count: new(Counters), start: time.Now(), events: make(chan event, queueLength),
-		stopped: make(chan struct{}), peers: map[brain.ServerID]*Peer{}, open: map[brain.RequestID]*entry{},
+		stopped: make(chan struct{}), peers: map[brain.ServerID]*Peer{}, open: map[brain.RequestID]*openCall{},
 	}
 }
 
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -28,7 +28,7 @@
 			r.count.HungUp.Add(1)
 		}
 	}()
-	e := &entry{Call: c, answer: make(chan Answer, 1)}
+	e := &openCall{Call: c, answer: make(chan Answer, 1)}
 	end := time.NewTimer(time.Until(c.Arrived.Add(c.Budget / queueShare)))
 	defer end.Stop()
 	select {
@@ -46,7 +46,7 @@
 
 // await waits for a call's answer until its time is up. The answer may be there
 // already: the decisions can be done with a call before its front waits for it.
-func (r *Router) await(ctx context.Context, e *entry) (a Answer, ok bool) {
+func (r *Router) await(ctx context.Context, e *openCall) (a Answer, ok bool) {
 	end := time.NewTimer(time.Until(e.Arrived.Add(e.Budget + guardDelay)))
 	defer end.Stop()
 	select {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -175,7 +175,7 @@
 // and units of the text.
 func DecodeJSON(data []byte) (brain.Settings, error) {
 	d := json.NewDecoder(bytes.NewReader(data))
-	d.UseNumber() // nanoseconds keep every digit
+	d.UseNumber() // a number keeps the form that the text has
 	var tree map[string]any
 	if err := d.Decode(&tree); err != nil {
 		return brain.Settings{}, fmt.Errorf("settings: %w", err)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -81,3 +82,54 @@
 		}
 	}
 }
+
+// TestJSONIsTheText holds both forms of the settings to one meaning: nested
+// names, lists of objects, lists of plain values.
+func TestJSONIsTheText(t *testing.T) {
+	text := `classes.count=1
+classes.0.aim=150000000
+classes.0.deadline=300000000
+classes.0.gain=2.5
+classes.0.idempotency=pure
+contract.ask_every=10000000000
+contract.cold=23000000000
+contract.cold_share=0.14
+contract.drain_grace=2500000000
+contract.fall=3000000000
+contract.overload_factor=2.5
+discovery=subscribe
+limits.cancel=true
+limits.max_retry_after=1500000000
+limits.probes=true
+limits.retry_after=true
+limits.second_copies=false
+limits.try_limit=4
+n_instances=2
+tenants.count=2
+tenants.0.quota_per_s=106.0
+tenants.0.share=0.37
+tenants.1.share=0.33
+weights=nominal
+worth_by=request
+zone=1
+zones=north_west,south
+`
+	nested := `{"classes":[{"name":"a, b","aim":150000000,"deadline":300000000,"gain":2.5,"idempotency":"pure"}],
+	"contract":{"ask_every":10000000000,"cold":23000000000,"cold_share":0.14,"drain_grace":2500000000,"fall":3000000000,
+	"overload_factor":2.5},"discovery":"subscribe","limits":{"cancel":true,"max_retry_after":1500000000,"probes":true,
+	"retry_after":true,"second_copies":false,"try_limit":4},"n_instances":2,"tenants":[{"quota_per_s":106.0,"share":0.37},
+	{"share":0.33}],"weights":"nominal","worth_by":"request","zone":1,"zones":["north west","south"],"new":null}`
+	want, err := ParseText([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeJSON([]byte(nested))
+	if err != nil || !reflect.DeepEqual(got, want) || got.Zones != 2 {
+		t.Errorf("%v: got %+v, want %+v", err, got, want)
+	}
+	for _, bad := range []string{"", "[]", "{", `{"classes":[]}`} {
+		if _, err := DecodeJSON([]byte(bad)); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
