Show on sockets that a planned end loses nothing that ran

Measured: clients that go on through SIGTERM until they are refused, what peers ran against what was answered 200.

--- a/cmd/olivebridge/main_test.go
+++ b/cmd/olivebridge/main_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -187,6 +188,52 @@
 	}
 }
 
+// TestNothingLostAtTheEnd: clients go on through a planned end until they are
+// refused. What ran was answered, each once: a client whose connection closed
+// under its request may send it again.
+func TestNothingLostAtTheEnd(t *testing.T) {
+	var ran, answered atomic.Int64
+	n := start(t, unchanged, func(http.ResponseWriter, *http.Request) { ran.Add(1) })
+	var clients sync.WaitGroup
+	serving := make(chan bool, 4)
+	for range cap(serving) {
+		clients.Go(func() {
+			client := http.Client{Transport: &http.Transport{}}
+			for i := range 20000 {
+				req, err := http.NewRequest("POST", "http://"+n.addr+"/api", strings.NewReader("paid"))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				req.Header = http.Header{"X-Call-Id": {"9b"}, "X-Call-Class": {"book"}, "X-Caller": {"acme"}, "X-Budget": {"1.5"}}
+				resp, err := client.Do(req)
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					return
+				}
+				if err == nil {
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+					if resp.StatusCode == 200 {
+						answered.Add(1)
+					}
+				}
+				if i == 0 {
+					serving <- true
+				}
+			}
+		})
+	}
+	for range cap(serving) {
+		<-serving
+	}
+	n.cmd.Process.Signal(syscall.SIGTERM)
+	clients.Wait()
+	n.until(t, "when=exit")
+	if ran.Load() == 0 || ran.Load() != answered.Load() {
+		t.Errorf("%d ran, %d were answered", ran.Load(), answered.Load())
+	}
+}
+
 // TestDrainingPeer: once the upstream group says that a peer drains, it gets
 // nothing, and the client is told when to come back.
 func TestDrainingPeer(t *testing.T) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -84,7 +84,7 @@
 }
 
 // TestJSONIsTheText holds both forms of the settings to one meaning: nested
-// names, lists of objects, lists of plain values.
+// names, lists of objects, and lists of plain values.
 func TestJSONIsTheText(t *testing.T) {
 	text := `classes.count=1
 classes.0.aim=150000000
