--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -13,6 +13,8 @@
 	"os"
 	"regexp"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -283,6 +285,43 @@
 	}
 }
 
+// TestIdlePool: within the bound, tries find the connections of those before
+// them. A pool too small for the load costs a handshake a try.
+func TestIdlePool(t *testing.T) {
+	const most, load = 8, 6
+	var opened atomic.Int64
+	arrived, release := make(chan bool), make(chan bool)
+	p := listenOn(t, func(conn net.Conn) {
+		opened.Add(1)
+		for in := bufio.NewReader(conn); ; {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			arrived <- true
+			<-release
+			io.WriteString(conn, ok)
+		}
+	})
+	l := make(lines, 100)
+	k := NewCarrier(CarrierConfig{ConnectTimeout: time.Second, IdleClose: time.Minute, MaxConns: most, Log: l.log()})
+	for range 2 {
+		var tries sync.WaitGroup
+		for range load {
+			tries.Go(func() { k.Try(t.Context(), tryOf(p, "GET", "")) })
+		}
+		for range load {
+			<-arrived
+		}
+		for range load {
+			release <- true
+		}
+		tries.Wait()
+	}
+	if n := opened.Load(); n != load {
+		t.Errorf("%d connections for %d tries at a time", n, load)
+	}
+}
+
 func TestProbe(t *testing.T) {
 	for answer, want := range map[string]brain.Result{ok: brain.OK, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n": brain.Errored} {
 		p, got := answering(t, answer)
@@ -528,6 +567,33 @@
 	}
 }
 
+// TestDrainWaits: a call that is still open when the front has stopped
+// accepting keeps its time, and its answer ends its connection.
+func TestDrainWaits(t *testing.T) {
+	taken, release, drained := make(chan bool), make(chan bool), make(chan bool)
+	addr, front, _ := newFront(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
+		taken <- true
+		<-release
+		return routing.Answer{Verdict: routing.Failed}, true
+	})
+	c := dial(t, addr)
+	io.WriteString(c, head+"Content-Length: 0\r\n\r\n")
+	<-taken
+	go func() {
+		front.Drain(time.Minute)
+		close(drained)
+	}()
+	for conn, err := net.Dial("tcp", addr); err == nil; conn, err = net.Dial("tcp", addr) {
+		io.Copy(io.Discard, conn) // until the front ends it, as it carries nothing
+		conn.Close()
+	}
+	close(release)
+	if resp, err := http.ReadResponse(c.in, nil); err != nil || resp.StatusCode != 502 || !resp.Close {
+		t.Errorf("%+v, %v", resp, err)
+	}
+	<-drained
+}
+
 // TestWatch: each call names the version held; a faulty answer ends the watch
 // and leaves the version, so that nothing is skipped.
 func TestWatch(t *testing.T) {
