--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -388,6 +388,21 @@
 
 const head = "POST /api?user=%41 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b\r\nX-Call-Class: book\r\nX-Budget: 0.5\r\n"
 
+// withOpenCall is a front at which one call is open until release is closed.
+func withOpenCall(t *testing.T, most int) (addr string, front *Front, c *client, release chan bool) {
+	t.Helper()
+	taken, release := make(chan bool), make(chan bool)
+	addr, front, _ = newFront(t, most, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
+		taken <- true
+		<-release
+		return routing.Answer{Verdict: routing.Failed}, true
+	})
+	c = dial(t, addr)
+	io.WriteString(c, head+"Content-Length: 0\r\n\r\n")
+	<-taken
+	return addr, front, c, release
+}
+
 // TestMalformedRequests get a plain 4xx and no try.
 func TestMalformedRequests(t *testing.T) {
 	addr, front, _ := newFront(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
@@ -470,15 +485,7 @@
 // TestCrowded: with no idle client connection to close, a call beyond the bound
 // is turned away at once instead of waiting unseen in the listener's queue.
 func TestCrowded(t *testing.T) {
-	taken, release := make(chan bool), make(chan bool)
-	addr, front, _ := newFront(t, 1, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
-		taken <- true
-		<-release
-		return routing.Answer{Verdict: routing.Failed}, true
-	})
-	first := dial(t, addr)
-	io.WriteString(first, head+"Content-Length: 0\r\n\r\n")
-	<-taken
+	addr, front, first, release := withOpenCall(t, 1)
 	resp, _ := dial(t, addr).ask(t, head+"Content-Length: 2\r\n\r\nhi")
 	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "0.500" || !resp.Close || front.Shed() != 1 {
 		t.Errorf("%d %v, %d shed", resp.StatusCode, resp.Header, front.Shed())
@@ -570,15 +577,8 @@
 // TestDrainWaits: a call that is still open when the front has stopped
 // accepting keeps its time, and its answer ends its connection.
 func TestDrainWaits(t *testing.T) {
-	taken, release, drained := make(chan bool), make(chan bool), make(chan bool)
-	addr, front, _ := newFront(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
-		taken <- true
-		<-release
-		return routing.Answer{Verdict: routing.Failed}, true
-	})
-	c := dial(t, addr)
-	io.WriteString(c, head+"Content-Length: 0\r\n\r\n")
-	<-taken
+	addr, front, c, release := withOpenCall(t, 10)
+	drained := make(chan bool)
 	go func() {
 		front.Drain(time.Minute)
 		close(drained)
