Reload at SIGHUP, refuse two lengths in one head, time bad clients out

Causes, by reading and by the new tests, which fail without the change: - cmd/olivebridge/main.go asked for no SIGHUP, so Go ended the process. - net/http deletes Content-Length beside Transfer-Encoding (transfer.go), so Front.read could not see it; and ignores the coding in HTTP/1.0. transport/framing.go now follows the raw heads; such a request gets 400 and a close, HTTP/1.0 gets 505. - A pipelined request read along with the one before it left its connection marked idle (clients.state): a drain or an eviction could close it under an open call. - Header and body timeouts of 10 s and 20 s against the 3 s owed to bad clients: now 2 and 2.5 s. The read deadline is lifted once the body is there, as net/http takes its end for the client's going; but not before a 4xx, or the close waits for the body (the test hung on that).

A watch's lists carry the watch they came from, and the decision goroutine drops those of a watch that was left. The new one asks for the whole list; Balancer.Moved ends the pause after failures.

Not yet: settings other than discovery take effect only at a restart.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -571,6 +571,12 @@
 	}
 }
 
+// Moved takes the news that discovery is elsewhere now: it is asked there at once, whatever failed before.
+func (b *Balancer) Moved(now Time) {
+	b.now, b.askAt, b.asking, b.watched, b.fails = now, now, false, false, 0
+	b.watch()
+}
+
 // Wake takes a timer set earlier.
 func (b *Balancer) Wake(now Time, ref uint64) {
 	b.now = now
--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -34,6 +34,8 @@
 	signal.Ignore(syscall.SIGPIPE) // or a log reader that goes away would take the node with it
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	reloads := make(chan os.Signal, 1) // of several in a row the last is read, and it reads the newest file
+	signal.Notify(reloads, syscall.SIGHUP)
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
@@ -79,6 +81,8 @@
 					close(drained)
 				}()
 			}
+		case <-reloads:
+			c = reload(c, router, log)
 		case <-drained:
 			carrier.Close()
 			counters("exit")
@@ -93,6 +97,22 @@
 	}
 }
 
+// reload reads the configuration again at SIGHUP and returns what holds from
+// then on. A bad one changes nothing: calls, and the watch, go on as before.
+func reload(old *protocol.Config, router *routing.Router, log *slog.Logger) *protocol.Config {
+	c, err := old.Reload(os.Getenv, os.ReadFile)
+	if err != nil {
+		log.Error("reload refused", "reason", err.Error())
+		return old
+	}
+	if c.Discovery != old.Discovery {
+		// versions of another discovery need not compare with those held: it is asked for the whole list
+		router.Follow(transport.NewWatch(c.Discovery, c.Names, -1, log))
+	}
+	log.Info("reloaded", "discovery", c.Discovery)
+	return c
+}
+
 // spareDescriptors are kept for discovery, the log and the runtime.
 const spareDescriptors = 64
 
--- a/cmd/olivebridge/main_test.go
+++ b/cmd/olivebridge/main_test.go
@@ -40,10 +40,11 @@
 
 // node is a running program.
 type node struct {
-	cmd   *exec.Cmd
-	addr  string
-	log   io.Closer
-	lines chan string // what it writes, closed at its end
+	cmd    *exec.Cmd
+	addr   string
+	log    io.Closer
+	config string      // the file's path
+	lines  chan string // what it writes, closed at its end
 }
 
 func program(t *testing.T, env ...string) *exec.Cmd {
@@ -76,9 +77,9 @@
 			i, server.Listener.Addr(), started))
 		started = time.Now().UnixMilli()
 	}
-	n := &node{lines: make(chan string, 1000)}
-	n.cmd = program(t, environment(t, "127.0.0.1:0", list.Listener.Addr().String(),
-		fmt.Sprintf(config, strings.Join(known, ",")))...)
+	env := environment(t, "127.0.0.1:0", list.Listener.Addr().String(), fmt.Sprintf(config, strings.Join(known, ",")))
+	n := &node{lines: make(chan string, 1000), config: strings.TrimPrefix(env[3], "ROUTER_CONFIG=")}
+	n.cmd = program(t, env...)
 	out, err := n.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -284,6 +285,58 @@
 	}
 }
 
+// TestReload: at SIGHUP a good file moves the watch at once and keeps the open
+// call; a bad one changes nothing and says so in one line.
+func TestReload(t *testing.T) {
+	held, release := make(chan bool), make(chan bool)
+	n := start(t, unchanged, func(w http.ResponseWriter, r *http.Request) {
+		held <- true
+		<-release
+	})
+	asked := make(chan string, 10)
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.RequestURI
+		<-r.Context().Done()
+	}))
+	defer other.Close()
+	status := make(chan int)
+	go func() {
+		got, _ := n.ask(t, "POST", "/api", "book", "paid")
+		status <- got
+	}()
+	<-held
+	hup := func(old, new string) {
+		text := strings.Replace(fmt.Sprintf(config, ""), old, new, 1)
+		if err := os.WriteFile(n.config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		n.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	moved := fmt.Sprintf(`{"discovery":%q,`, other.Listener.Addr())
+	hup("{", `{"discovery":"nowhere",`)
+	n.until(t, `msg="reload refused" reason="configuration: discovery: `)
+	hup("{", "")
+	n.until(t, `msg="reload refused" reason="configuration: `)
+	hup(`{"name":"n0"`, moved+`"name":"n1"`)
+	n.until(t, `msg="reload refused" reason="configuration: name `)
+	if len(asked) != 0 {
+		t.Error("a refused file moved the watch")
+	}
+	hup("{", moved)
+	if uri := <-asked; uri != "/registry/instances" {
+		t.Errorf("asked for %s: versions of another discovery do not compare", uri)
+	}
+	close(release)
+	if got := <-status; got != 200 {
+		t.Errorf("the open call: %d", got)
+	}
+	n.cmd.Process.Signal(syscall.SIGTERM)
+	n.until(t, "msg=draining")
+	n.cmd.Process.Signal(syscall.SIGHUP)
+	n.until(t, "msg=reloaded")
+	n.until(t, "when=exit")
+}
+
 // TestBadStart: one clear line and a non-zero exit code.
 func TestBadStart(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -34,6 +34,8 @@
 	LongestDeadline         time.Duration
 	Known                   routing.Group
 	KnownVersion            int64
+
+	fileName, fileListen string // as the file has them
 }
 
 type named struct {
@@ -41,8 +43,11 @@
 }
 
 type configJSON struct {
-	Seed   string `json:"seed"`
-	Limits struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
@@ -93,12 +98,39 @@
 	return c, nil
 }
 
+// Reload reads the configuration again. The new one holds as a whole or, with
+// an error, not at all: what a running node cannot change must not differ.
+func (c *Config) Reload(getenv func(string) string, readFile func(string) ([]byte, error)) (*Config, error) {
+	n, err := Load(getenv, readFile)
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range []struct {
+		name string
+		same bool
+	}{
+		{"name", n.fileName == c.fileName}, {"listen", n.fileListen == c.fileListen},
+	} {
+		if !v.same {
+			return nil, fmt.Errorf("configuration: %s cannot change in a running node", v.name)
+		}
+	}
+	return n, nil
+}
+
 func (c *Config) parse(data []byte) error {
 	var in configJSON
 	if err := json.Unmarshal(data, &in); err != nil {
 		return err
 	}
-	var err error
+	c.fileName, c.fileListen = in.Name, in.Listen
+	if in.Discovery != "" { // the file may be newer than the environment, which cannot change
+		c.Discovery = in.Discovery
+	}
+	_, _, err := net.SplitHostPort(c.Discovery)
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
 	if c.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
 		return fmt.Errorf("seed: %w", err)
 	}
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -43,22 +43,29 @@
 	return told == nil || now.Sub(*told) <= grace/2
 }
 
+// watch is one watch on the upstream group. What it brings counts only while it
+// is the router's.
+type watch struct{ stop context.CancelFunc }
+
 // listEvent brings a list, or the news that a watch broke.
 type listEvent struct {
+	from  *watch
 	group Group
 	err   error
 }
 
 func (e listEvent) handle(r *Router) {
-	if e.err != nil {
-		r.watching = false
+	switch {
+	case e.from != r.watch: // guards against a list of a discovery that was left, posted just before
+	case e.err != nil:
+		r.endWatch()
 		r.count.WatchFailures.Add(1)
 		r.log.Warn("upstream group watch ended", "reason", e.err.Error())
 		r.brain.List(r.now(), brain.Failed, nil)
-		return
+	default:
+		r.count.Lists.Add(1)
+		r.learn(e.group)
 	}
-	r.count.Lists.Add(1)
-	r.learn(e.group)
 }
 
 // learn takes over addresses and leaving marks, then tells the Balancer.
@@ -102,21 +109,43 @@
 
 // Watch implements brain.Host: it starts the watch unless one runs.
 func (r *Router) Watch() {
-	if r.watching {
+	if r.watch != nil {
 		return
 	}
-	r.watching = true
-	r.spawn(func(ctx context.Context) {
-		err := r.watcher.Watch(ctx, func(g Group) { r.post(listEvent{group: g}) })
+	ctx, stop := context.WithCancel(r.ctx)
+	w, watcher := &watch{stop}, r.watcher
+	r.watch = w
+	r.spawn(func(context.Context) {
+		err := watcher.Watch(ctx, func(g Group) { r.post(listEvent{from: w, group: g}) })
 		if err == nil {
 			err = fmt.Errorf("no reason given")
 		}
 		if ctx.Err() == nil {
-			r.post(listEvent{err: err})
+			r.post(listEvent{from: w, err: err})
 		}
-	}, func() { r.post(listEvent{err: fmt.Errorf("panic in the watch")}) })
+	}, func() { r.post(listEvent{from: w, err: fmt.Errorf("panic in the watch")}) })
+}
+
+func (r *Router) endWatch() {
+	if r.watch != nil {
+		r.watch.stop()
+		r.watch = nil
+	}
 }
 
+// followEvent brings another source of the upstream group.
+type followEvent struct{ watcher Watcher }
+
+func (e followEvent) handle(r *Router) {
+	r.endWatch()
+	r.watcher = e.watcher
+	r.brain.Moved(r.now())
+}
+
+// Follow leaves the watch that runs for a new one by w, begun at once. No list
+// of the old one counts any more, nor does its end.
+func (r *Router) Follow(w Watcher) { r.post(followEvent{w}) }
+
 // probeEvent brings a probe's result.
 type probeEvent struct{ result brain.ProbeResult }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -43,12 +43,12 @@
 	events  chan event
 	stopped chan struct{}
 
-	ctx      context.Context
-	brain    *brain.Balancer
-	peers    map[brain.ServerID]*Peer
-	open     map[brain.RequestID]*openCall
-	lastID   brain.RequestID
-	watching bool
+	ctx    context.Context
+	brain  *brain.Balancer
+	peers  map[brain.ServerID]*Peer
+	open   map[brain.RequestID]*openCall
+	lastID brain.RequestID
+	watch  *watch // nil: none runs
 }
 
 // New makes a Router; Run starts its decisions.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -331,3 +331,34 @@
 		t.Error("the broken watch did not count")
 	}
 }
+
+// TestFollow: another source is asked at once, also while the Balancer waits
+// after a failure, and nothing of the old one counts any more.
+func TestFollow(t *testing.T) {
+	first, second := make(scripted), make(scripted)
+	r := newRouter(nil, listed())
+	r.watcher = first
+	go r.Run(t.Context())
+	first <- Group{Kind: brain.Delta}
+	old := make(chan *watch, 1)
+	r.post(look(func(r *Router) { old <- r.watch }))
+	left := <-old
+	r.Follow(second)
+	second <- listed(7) // it runs
+	r.post(listEvent{from: left, group: listed(8)})
+	r.post(listEvent{from: left, err: errors.New("the old one's end")})
+	second <- errors.New("broken")
+	third := make(scripted)
+	r.Follow(third)
+	third <- Group{Kind: brain.Delta} // without the pause that a failure brings: the test would hang
+	peers := make(chan int)
+	r.post(look(func(r *Router) {
+		if r.peers[7] == nil {
+			t.Error("the new list is not there")
+		}
+		peers <- len(r.peers)
+	}))
+	if n := <-peers; n != 1 || r.count.WatchFailures.Load() > 1 {
+		t.Errorf("%d peers, %d failures", n, r.count.WatchFailures.Load())
+	}
+}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -191,6 +191,7 @@
 	whole  bool          // that request has been read whole
 	next   bool          // a byte of the one after it has been read
 	gone   bool          // its end is decided
+	raw    framing
 }
 
 // Read implements net.Conn. Bytes that come once the end is decided are not
@@ -208,9 +209,29 @@
 	}
 	k.active, k.next = true, k.next || k.whole
 	k.all.setIdle(k, false)
+	k.raw.read(b[:n])
 	return n, err
 }
 
+// requestBegins notes that a request's head was read, and reports whether it
+// may be served. A pipelined one was read along with the request before it, so
+// that its connection counted as idle until now, and may have been ended.
+func (k *clientConn) requestBegins() bool {
+	k.all.mu.Lock()
+	defer k.all.mu.Unlock()
+	k.active = true
+	k.all.setIdle(k, false)
+	return !k.gone
+}
+
+// framed says whether the head of the request that is read leaves any doubt
+// about where it ends, and whether the connection must end with its answer.
+func (k *clientConn) framed() (torn, last bool) {
+	k.all.mu.Lock()
+	defer k.all.mu.Unlock()
+	return k.raw.torn, k.raw.over
+}
+
 // requestRead notes that all bytes from now on are of the next request.
 func (k *clientConn) requestRead() {
 	k.all.mu.Lock()
--- /dev/null
+++ b/internal/transport/framing.go
@@ -0,0 +1,82 @@
+package transport
+
+import "strconv"
+
+// framing follows the heads of the requests on a client connection, in the raw
+// bytes. Where Transfer-Encoding stands beside Content-Length, net/http takes
+// the latter out and goes by the former; whoever goes by the latter finds
+// another request in the body. A handler cannot see that: only the bytes tell.
+type framing struct {
+	line    [len("transfer-encoding:")]byte // how the current line begins, in lower case
+	n       int                             // bytes of it; at its length the rest does not matter
+	inValue bool                            // of a length
+	digits  []byte
+	sized   bool  // the head has a Content-Length
+	coded   bool  // the head has a Transfer-Encoding
+	skip    int64 // bytes of a body still to come
+	over    bool  // nothing further is followed, nor served: the connection ends
+	torn    bool  // some head had both, or a folded line, which can hide either
+}
+
+// maxDigits is above what net/http takes for a length.
+const maxDigits = 20
+
+// read takes in what was read from the connection.
+func (f *framing) read(b []byte) {
+	for len(b) > 0 && !f.over {
+		if f.skip > 0 {
+			n := min(f.skip, int64(len(b)))
+			f.skip, b = f.skip-n, b[n:]
+			continue
+		}
+		f.next(b[0])
+		b = b[1:]
+	}
+}
+
+func (f *framing) next(c byte) {
+	switch {
+	case c == '\n':
+		f.endLine()
+	case f.n == 0 && (c == ' ' || c == '\t'):
+		f.torn, f.over = true, true
+	case f.inValue:
+		if c >= '0' && c <= '9' && len(f.digits) < maxDigits {
+			f.digits = append(f.digits, c)
+		}
+	case f.n < len(f.line):
+		if 'A' <= c && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		f.line[f.n] = c
+		f.n++
+		if c == ':' {
+			f.name(string(f.line[:f.n]))
+			f.n = len(f.line)
+		}
+	}
+}
+
+func (f *framing) name(name string) {
+	switch name {
+	case "content-length:": // of several, net/http lets only equal ones pass
+		f.sized, f.inValue, f.digits = true, true, f.digits[:0]
+	case "transfer-encoding:":
+		f.coded = true
+	}
+	if f.sized && f.coded {
+		f.torn, f.over = true, true
+	}
+}
+
+func (f *framing) endLine() {
+	empty := f.n == 0 || f.n == 1 && f.line[0] == '\r'
+	f.n, f.inValue = 0, false
+	if !empty {
+		return
+	}
+	if f.sized {
+		f.skip, _ = strconv.ParseInt(string(f.digits), 10, 64) // net/http turns away what is no number
+	}
+	f.over, f.sized = f.coded, false
+}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -25,6 +25,14 @@
 	drainSpare  = 2 * time.Second        // beyond the longest deadline: no open call is ever cut off
 )
 
+// How long a client may take. One that sends nothing usable is owed an error
+// or a close within 3 s of connecting, and holds a descriptor for as long.
+const (
+	headTimeout    = 2 * time.Second
+	requestTimeout = 2500 * time.Millisecond // its body included
+	idleTimeout    = 30 * time.Second        // between requests
+)
+
 // shedRetryAfter is when a client turned away for want of descriptors should come back.
 const shedRetryAfter = 500 * time.Millisecond
 
@@ -59,10 +67,10 @@
 			return context.WithValue(ctx, connKey{}, conn)
 		},
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		ReadHeaderTimeout: 10 * time.Second,
-		ReadTimeout:       20 * time.Second,
+		ReadHeaderTimeout: headTimeout,
+		ReadTimeout:       requestTimeout,
 		WriteTimeout:      30 * time.Second,
-		IdleTimeout:       5 * time.Minute,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    32 << 10,
 	}
 	return f
@@ -103,7 +111,9 @@
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer func() { // a panic that reached net/http would end the connection without an answer: a lost call
-		if p := recover(); p != nil {
+		if p := recover(); p == http.ErrAbortHandler {
+			panic(p)
+		} else if p != nil {
 			f.log.Error("panic", "in", "front", "value", fmt.Sprint(p), "stack", string(debug.Stack()))
 			w.WriteHeader(http.StatusInternalServerError)
 		}
@@ -114,15 +124,23 @@
 		}
 		return
 	}
-	call, status, err := f.read(r)
+	k := r.Context().Value(connKey{}).(*clientConn)
+	if !k.requestBegins() {
+		panic(http.ErrAbortHandler) // its client sees the end of the connection, and sends it again
+	}
+	call, status, err := f.read(r, k)
+	if _, last := k.framed(); last {
+		w.Header().Set("Connection", "close")
+	}
 	if err != nil {
 		f.badly.Add(1)
-		if status == http.StatusRequestEntityTooLarge {
-			w.Header().Set("Connection", "close") // what is left of the body is not worth reading
-		}
+		w.Header().Set("Connection", "close") // whatever else waits on it is not worth reading
 		http.Error(w, err.Error(), status)
 		return
 	}
+	// The request has come in time; net/http would take the end of that time for
+	// the client's going.
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if f.clients.crowded() { // guards the descriptors: no try, and room for the next
 		f.shed.Add(1)
 		w.Header().Set("Connection", "close")
@@ -137,10 +155,16 @@
 }
 
 // read takes a call out of a request, or says which 4xx it deserves.
-func (f *Front) read(r *http.Request) (routing.Call, int, error) {
-	if strings.HasPrefix(r.RequestURI, "//") {
+func (f *Front) read(r *http.Request, k *clientConn) (routing.Call, int, error) {
+	if !r.ProtoAtLeast(1, 1) { // net/http passes over a Transfer-Encoding there
+		return routing.Call{}, http.StatusHTTPVersionNotSupported, errors.New("version: below HTTP/1.1")
+	}
+	if torn, _ := k.framed(); torn { // guards the peers: the body may hide another request
+		return routing.Call{}, http.StatusBadRequest, errors.New("framing: two lengths, or a folded line")
+	}
+	if !strings.HasPrefix(r.RequestURI, "/") || strings.HasPrefix(r.RequestURI, "//") {
 		// net/url would write such a target in another form than it came
-		return routing.Call{}, http.StatusBadRequest, errors.New("target: begins with two slashes")
+		return routing.Call{}, http.StatusBadRequest, errors.New("target: begins with no slash, or with two")
 	}
 	call, err := f.names.ParseCall(func(name string) []string { return r.Header[name] }, r.URL.RawQuery)
 	if err != nil {
@@ -157,9 +181,7 @@
 		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
 	}
 	call.Arrived = time.Now()
-	if k, ok := r.Context().Value(connKey{}).(*clientConn); ok {
-		k.requestRead()
-	}
+	k.requestRead()
 	call.Payload = &message{
 		method: r.Method, target: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body,
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -342,7 +342,7 @@
 
 func (f taker) Ready() bool { return true }
 
-func newFront(t *testing.T, most int, f taker) (addr string, front *Front, log lines) {
+func newFront(t *testing.T, most int, f taker, change ...func(*Front)) (addr string, front *Front, log lines) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -350,6 +350,9 @@
 	}
 	log = make(lines, 1000)
 	front = NewFront(l, protocol.Names{Classes: map[string]int{"book": 0}}, f, most, log.log())
+	for _, c := range change {
+		c(front)
+	}
 	go front.Serve()
 	t.Cleanup(func() { front.server.Close() })
 	return l.Addr().String(), front, log
@@ -418,22 +421,101 @@
 		{head + "Transfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", 0x10001) + "\r\n0\r\n\r\n", 413},
 		{strings.Replace(head, "book", "gift", 1) + body(0), 400}, {strings.Replace(head, "0.5", "soon", 1) + body(0), 400},
 		{strings.Replace(head, "X-Call-Id", "X-Id", 1) + body(0), 400}, {strings.Replace(head, "/api", "//api", 1) + body(0), 400},
+		{head + "Transfer-Encoding: chunked\r\n" + body(2), 400}, {head + "content-LENGTH: 2\r\ntransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{strings.Replace(head, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n" + body(2), 505},
+		{head + "Content-Length: 2\r\n" + body(3), 0}, {head + "Content-Length: -1\r\n\r\n", 0},
+		{head + "Content-Length:\r\n 2\r\n\r\nhi", 400},
 	}
 	bad := 0
 	for _, c := range cases {
 		resp, _ := dial(t, addr).ask(t, c.raw)
-		if resp.StatusCode != c.want {
-			t.Errorf("%.90q: status %d, want %d", c.raw, resp.StatusCode, c.want)
-		}
-		if c.want != 200 {
+		if c.want == 0 { // net/http's own answer
+			c.want = 400
+		} else if c.want != 200 {
 			bad++
 		}
+		if resp.StatusCode != c.want || !resp.Close && (c.want != 200 || strings.Contains(c.raw, "chunked")) {
+			t.Errorf("%.190q: status %d, want %d; close: %v", c.raw, resp.StatusCode, c.want, resp.Close)
+		}
 	}
 	if front.Malformed() != int64(bad) {
 		t.Errorf("%d counted as malformed of %d", front.Malformed(), bad)
 	}
 }
 
+// TestFraming: a head that has a length beside a coding is found wherever the
+// reads are cut, also behind other requests, and no body is taken for a head.
+func TestFraming(t *testing.T) {
+	both := "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for raw, torn := range map[string]bool{
+		"GET / HTTP/1.1\r\n\r\n": false, "POST / HTTP/1.1\r\n" + both: true, "GET / HTTP/1.1\n\nPOST / HTTP/1.1\n" + both: true,
+		fmt.Sprintf("POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n\n%sGET / HTTP/1.1\r\nA: b\r\n\r\n", len(both)+1, both): false,
+		"POST / HTTP/1.1\r\ncontent-length:\t1\r\n\r\nxPOST / HTTP/1.1\r\n" + both:                                        true,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n":                                       false,
+		"GET / HTTP/1.1\r\nContent-Length:\r\n 5\r\n\r\n":                                                                 true, "GET / HTTP/1.1\r\nX-Content-Length: 1\r\nTransfer-Encoding: a\r\n\r\n": false,
+	} {
+		for cut := range len(raw) {
+			var f framing
+			f.read([]byte(raw[:cut]))
+			if f.read([]byte(raw[cut:])); f.torn != torn {
+				t.Errorf("%q cut at %d: torn: %v", raw, cut, f.torn)
+			}
+		}
+	}
+}
+
+// TestPipelined: a request read along with the one before it is open, so that
+// its connection must not be closed as idle.
+func TestPipelined(t *testing.T) {
+	taken, release := make(chan bool), make(chan bool)
+	addr, front, _ := newFront(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
+		taken <- true
+		<-release
+		return routing.Answer{Verdict: routing.Failed}, true
+	})
+	c := dial(t, addr)
+	one := head + "Content-Length: 0\r\n\r\n"
+	io.WriteString(c, one+one)
+	<-taken
+	release <- true
+	<-taken
+	front.clients.leave()
+	release <- true
+	for range 2 {
+		if resp, err := http.ReadResponse(c.in, nil); err != nil || resp.StatusCode != 502 {
+			t.Fatal(resp, err)
+		}
+	}
+}
+
+// TestSlowClients: whoever does not send a whole request in time is closed; one
+// whose call takes longer than that is not.
+func TestSlowClients(t *testing.T) {
+	addr, _, _ := newFront(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
+		select {
+		case <-time.After(250 * time.Millisecond): // above the timeouts
+			return routing.Answer{Verdict: routing.Failed}, true
+		case <-ctx.Done():
+			return routing.Answer{}, false
+		}
+	}, func(f *Front) {
+		if f.server.ReadHeaderTimeout > 2*time.Second || f.server.ReadTimeout > 3*time.Second {
+			t.Error("the timeouts are too long for what a bad client is owed")
+		}
+		f.server.ReadHeaderTimeout, f.server.ReadTimeout = 100*time.Millisecond, 100*time.Millisecond
+	})
+	for _, raw := range []string{"", "POST /api", head, head + "Content-Length: 5\r\n\r\nhi"} {
+		c := dial(t, addr)
+		io.WriteString(c, raw)
+		if _, err := io.Copy(io.Discard, c); err != nil {
+			t.Error(err)
+		}
+	}
+	if resp, _ := dial(t, addr).ask(t, head+"Content-Length: 2\r\n\r\nhi"); resp.StatusCode != 502 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
 func TestAnswersOnTheWire(t *testing.T) {
 	var a routing.Answer
 	addr, _, _ := newFront(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
