--- a/brain/brain.go
+++ b/brain/brain.go
@@ -781,9 +781,9 @@
 	return max(int(s.size/most*share*weightSteps+0.5), 1)
 }
 
-// build fills the Maglev table (Eisenbud et al., NSDI 2016), and one of this zone's servers where they are
-// enough: the failure of one must not crowd the rest, and crossing cost more than the imbalance of so few.
-// As many keys keep to it first as the zone's part can carry. It costs a key a warm server in each zone.
+// build fills the Maglev table (Eisenbud et al., NSDI 2016), and one of this zone's servers where crossing costs
+// more than the imbalance of so few. As many keys keep to it first as the zone's part can carry, and as the rest
+// can once one of its servers has failed. It costs a key a warm server in each zone.
 func (b *Balancer) build() {
 	b.dirty, b.built = false, b.now
 	most, all, own, n := 0, 0.0, 0.0, 0.0
@@ -803,8 +803,8 @@
 	b.full = most > 0
 	b.fill(&b.table, most, func(s *server) bool { return s.weight > 0 })
 	b.keep = 0
-	if b.set.Zones > 1 && zoneRoom*(n-1) >= n && n*b.set.CrossPrice >= zoneWorth {
-		b.keep = zoneRoom * own / all * float64(min(b.set.Zones, b.set.Nodes))
+	if b.set.Zones > 1 && n > 1 && n*b.set.CrossPrice >= zoneWorth {
+		b.keep = zoneRoom * min(own/all*float64(min(b.set.Zones, b.set.Nodes)), (n-1)/n)
 		b.fill(&b.near, most, func(s *server) bool { return s.weight > 0 && s.Zone == b.set.Zone })
 	}
 }
