Answer a second call of an open id with 409, without a try; keep odd ids from peers

The front passed any X-Call-Id on, and two calls of one id side by side, so a client that repeats another's open id had it run twice. The table of open calls now knows their names, from admission until the last try is back, hang-ups included; the second gets an error, not a reject, since the first may run. An id has 1 to 128 letters, digits and - _ . or gets 400. Tests: TestSameName, TestMalformedRequests.

--- a/cmd/olivebridge/main_test.go
+++ b/cmd/olivebridge/main_test.go
@@ -113,13 +113,16 @@
 	return ""
 }
 
+// ids gives each request one of its own.
+var ids atomic.Int64
+
 func (n *node) ask(t *testing.T, method, target, class, body string) (int, string) {
 	t.Helper()
 	req, err := http.NewRequest(method, "http://"+n.addr+target, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, v := range map[string]string{"X-Call-Id": "9b1f", "X-Call-Class": class, "X-Caller": "acme", "X-Budget": "5"} {
+	for name, v := range map[string]string{"X-Call-Id": fmt.Sprint("9b1f-", ids.Add(1)), "X-Call-Class": class, "X-Caller": "acme", "X-Budget": "5"} {
 		req.Header.Set(name, v)
 	}
 	resp, err := http.DefaultClient.Do(req)
@@ -150,7 +153,7 @@
 	if status, _ := n.ask(t, "GET", "/health/ready", "", ""); status != 200 {
 		t.Errorf("ready: %d", status)
 	}
-	if status, got := n.ask(t, "POST", "/api?user=%61b", "book", "paid"); status != 200 || got != "POST /api?user=%61b 9b1f paid" {
+	if status, got := n.ask(t, "POST", "/api?user=%61b", "book", "paid"); status != 200 || got != "POST /api?user=%61b 9b1f-2 paid" {
 		t.Errorf("%d %q", status, got)
 	}
 	if status, _ := n.ask(t, "GET", "/api", "gift", ""); status != 400 {
@@ -206,7 +209,7 @@
 					t.Error(err)
 					return
 				}
-				req.Header = http.Header{"X-Call-Id": {"9b"}, "X-Call-Class": {"book"}, "X-Caller": {"acme"}, "X-Budget": {"1.5"}}
+				req.Header = http.Header{"X-Call-Id": {fmt.Sprint(ids.Add(1))}, "X-Call-Class": {"book"}, "X-Caller": {"acme"}, "X-Budget": {"1.5"}}
 				resp, err := client.Do(req)
 				if errors.Is(err, syscall.ECONNREFUSED) {
 					return
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -31,8 +31,8 @@
 			fields[name] = v[0]
 		}
 	}
-	if fields[HeaderID] == "" {
-		return routing.Call{}, fmt.Errorf("%s: missing", HeaderID)
+	if !validID(fields[HeaderID]) { // an odd one must not reach a peer
+		return routing.Call{}, fmt.Errorf("%s: missing or malformed: %.80q", HeaderID, fields[HeaderID])
 	}
 	class, ok := n.Classes[fields[HeaderClass]]
 	if !ok {
@@ -53,10 +53,20 @@
 		return routing.Call{}, err
 	}
 	return routing.Call{
-		Class: class, Tenant: tenant, Key: key, Repeat: fields[HeaderAgain] == "1", Budget: budget,
+		Name: fields[HeaderID], Class: class, Tenant: tenant, Key: key, Repeat: fields[HeaderAgain] == "1", Budget: budget,
 	}, nil
 }
 
+// maxID bounds a call's id.
+const maxID = 128
+
+// validID reports whether an id has 1 to maxID letters, digits and - _ . only.
+func validID(id string) bool {
+	return id != "" && len(id) <= maxID && !strings.ContainsFunc(id, func(c rune) bool {
+		return (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && c != '-' && c != '_' && c != '.'
+	})
+}
+
 // ParseBudget reads a time in seconds with decimals: digits and at most one
 // point, above zero.
 func ParseBudget(s string) (time.Duration, error) {
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -26,6 +26,14 @@
 
 func (a admitEvent) handle(r *Router) {
 	e, now := a.e, r.now()
+	if _, open := r.names[e.Name]; open && e.Name != "" {
+		// Guards against a second effect, and the first call's answer going to
+		// another client. An error, not a reject: the first may run.
+		e.answer <- Answer{Verdict: Twice}
+		e.answered = true
+		return
+	}
+	r.names[e.Name] = struct{}{}
 	r.lastID++
 	e.id = r.lastID
 	e.deadline = r.brainTime(e.Arrived.Add(e.Budget - answerMargin))
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -11,8 +11,9 @@
 // book is the last stage: a call that is answered and has no try out leaves
 // the table.
 func (r *Router) book(e *openCall) {
-	if e.answered && e.out == 0 {
+	if e.answered && e.out == 0 && r.open[e.id] == e {
 		delete(r.open, e.id)
+		delete(r.names, e.Name)
 	}
 }
 
@@ -32,15 +33,15 @@
 // Counters count what a node takes in, sends and answers. They are safe for
 // concurrent use.
 type Counters struct {
-	Taken, Served, Rejected, Failed, Overdue, HungUp atomic.Int64 // calls
-	QueueFull, GuardAnswers, Panics                  atomic.Int64 // what should not happen
-	Tries, CalledOff                                 atomic.Int64
-	Results                                          [brain.Moot + 1]atomic.Int64 // of tries
-	Probes, ProbesFailed, Lists, WatchFailures       atomic.Int64
+	Taken, Served, Rejected, Failed, Overdue, Twice, HungUp atomic.Int64 // calls
+	QueueFull, GuardAnswers, Panics                         atomic.Int64 // what should not happen
+	Tries, CalledOff                                        atomic.Int64
+	Results                                                 [brain.Moot + 1]atomic.Int64 // of tries
+	Probes, ProbesFailed, Lists, WatchFailures              atomic.Int64
 }
 
 func (c *Counters) answered(v Verdict) {
-	[...]*atomic.Int64{&c.Served, &c.Rejected, &c.Failed, &c.Overdue}[v].Add(1)
+	[...]*atomic.Int64{&c.Served, &c.Rejected, &c.Failed, &c.Overdue, &c.Twice}[v].Add(1)
 }
 
 func (c *Counters) outcome(res brain.Result) {
@@ -58,6 +59,7 @@
 	add("reject", &c.Rejected)
 	add("failed", &c.Failed)
 	add("overdue", &c.Overdue)
+	add("twice", &c.Twice)
 	add("hung_up", &c.HungUp)
 	add("queue_full", &c.QueueFull)
 	add("guard_answers", &c.GuardAnswers)
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -17,6 +17,7 @@
 // Call is a client's request, reduced to what decisions need. The rest stays
 // as it came, in Payload, and goes on to the carrier unread.
 type Call struct {
+	Name          string // the id its client gave it; no two open calls share one
 	Class, Tenant int
 	Key           uint64 // 0: none
 	Repeat        bool
@@ -34,10 +35,11 @@
 	Reject                 // not run: trying again is harmless
 	Failed                 // no promise
 	Overdue                // no promise, and its time was up
+	Twice                  // a call of its name is open, and goes on; this one was not tried
 )
 
 func (v Verdict) String() string {
-	return [...]string{"served", "reject", "failed", "overdue"}[v]
+	return [...]string{"served", "reject", "failed", "overdue", "twice"}[v]
 }
 
 // Answer is the one final answer to a call.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -47,6 +47,7 @@
 	brain  *brain.Balancer
 	peers  map[brain.ServerID]*Peer
 	open   map[brain.RequestID]*openCall
+	names  map[string]struct{} // of the open calls
 	lastID brain.RequestID
 	watch  *watch // nil: none runs
 }
@@ -57,6 +58,7 @@
 		set: c.Settings, seed: c.Seed, known: c.Known, carrier: c.Carrier, watcher: c.Watcher, log: c.Log,
 		count: new(Counters), start: time.Now(), events: make(chan event, queueLength),
 		stopped: make(chan struct{}), peers: map[brain.ServerID]*Peer{}, open: map[brain.RequestID]*openCall{},
+		names: map[string]struct{}{},
 	}
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -362,3 +362,44 @@
 		t.Errorf("%d peers, %d failures", n, r.count.WatchFailures.Load())
 	}
 }
+
+// TestSameName: a call whose name is open gets an error and no try, and leaves
+// the first alone; the name is free once that has ended, its try included.
+func TestSameName(t *testing.T) {
+	out, release := make(chan bool, 1), make(chan TryResult)
+	r := started(t, func(ctx context.Context, try Try) TryResult {
+		out <- true
+		return <-release
+	}, listed(7))
+	named := call(unsafe, time.Minute)
+	named.Name = "9b"
+	got := make(chan bool)
+	ctx, hangUp := context.WithCancel(t.Context())
+	go func() {
+		_, ok := r.Take(ctx, named)
+		got <- ok
+	}()
+	<-out
+	if a, ok := r.Take(t.Context(), named); !ok || a.Verdict != Twice || r.count.Tries.Load() != 1 {
+		t.Errorf("%+v, %v after %d tries", a, ok, r.count.Tries.Load())
+	}
+	hangUp() // its try is still out, and may run
+	if ok := <-got; ok {
+		t.Error("the first was answered")
+	}
+	if a, _ := r.Take(t.Context(), named); a.Verdict != Twice {
+		t.Errorf("while the first's try is out: %+v", a)
+	}
+	release <- TryResult{Result: brain.Cancelled}
+	go func() { release <- TryResult{Result: brain.OK} }()
+	for a := (Answer{Verdict: Twice}); a.Verdict != Served; { // until the outcome is in
+		if a, _ = r.Take(t.Context(), named); a.Verdict != Served && a.Verdict != Twice {
+			t.Fatalf("%+v", a)
+		}
+	}
+	names := make(chan int)
+	r.post(look(func(r *Router) { names <- len(r.names) }))
+	if n := <-names; n != 0 {
+		t.Errorf("%d names are kept", n)
+	}
+}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -208,6 +208,8 @@
 			h.Set("Retry-After", protocol.FormatSeconds(a.RetryAfter))
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case routing.Twice:
+		w.WriteHeader(http.StatusConflict)
 	case routing.Overdue:
 		w.WriteHeader(http.StatusGatewayTimeout)
 	default:
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -517,7 +517,8 @@
 		{head + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 200},
 		{head + "Transfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", 0x10001) + "\r\n0\r\n\r\n", 413},
 		{strings.Replace(head, "book", "gift", 1) + body(0), 400}, {strings.Replace(head, "0.5", "soon", 1) + body(0), 400},
-		{strings.Replace(head, "X-Call-Id", "X-Id", 1) + body(0), 400}, {strings.Replace(head, "/api", "//api", 1) + body(0), 400},
+		{strings.Replace(head, "X-Call-Id", "X-Id", 1) + body(0), 400}, {strings.Replace(head, ": 9b", ": 9 b", 1) + body(0), 400},
+		{strings.Replace(head, ": 9b", ": 9"+strings.Repeat("b", 128), 1) + body(0), 400}, {strings.Replace(head, "/api", "//api", 1) + body(0), 400},
 		{head + "Transfer-Encoding: chunked\r\n" + body(2), 400}, {head + "content-LENGTH: 2\r\ntransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
 		{strings.Replace(head, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n" + body(2), 505},
 		{head + "Content-Length: 2\r\n" + body(3), 0}, {head + "Content-Length: -1\r\n\r\n", 0},
@@ -630,7 +631,7 @@
 		{routing.Answer{Verdict: routing.Served, Reply: &reply{header: http.Header{"X-Hit": {"1"}}, body: []byte("\x00b")}}, 200, ""},
 		{routing.Answer{Verdict: routing.Reject, RetryAfter: 250 * time.Millisecond}, 503, "0.250"},
 		{routing.Answer{Verdict: routing.Reject}, 503, ""}, {routing.Answer{Verdict: routing.Failed}, 502, ""},
-		{routing.Answer{Verdict: routing.Overdue}, 504, ""},
+		{routing.Answer{Verdict: routing.Overdue}, 504, ""}, {routing.Answer{Verdict: routing.Twice}, 409, ""},
 		{routing.Answer{Verdict: 9}, 500, ""}, // a panic must not end the connection: the call would be lost
 	} {
 		a = k.answer
