Forget servers and peers that have been gone for a minute

Read for what grows: routing's peers were entered for each id and never deleted, and the Balancer's servers likewise, though every tick and every table walks them. Balancer.forget now drops a server a minute after it left the table, unless work is out; the router keeps the peers it knows. Other maps: open and names end with their calls, lines with their rest, the pool's idle lists with their connections (7 s).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,6 +24,7 @@
 	maxInterval  = 5 * time.Second // a node without traffic sends one probe in this time
 	probeTimeout = 1 * time.Second
 	probeCost    = 0.0025           // of the result that probes may cost, see probe
+	forgetAfter  = time.Minute      // since a server that is gone left the table
 	warmup       = 30 * time.Second // a fresh node trusts ready servers this long without a result
 	tableSize    = 2039             // prime
 	weightSteps  = 64               // a weight is rounded to this share of the largest
@@ -534,11 +535,30 @@
 		b.judge(s)
 	}
 	b.dirty = true
+	b.forget()
 }
 
+// forget drops servers that have been gone for long and hold nothing. It guards a node's memory where servers
+// are replaced all day; one that comes back after that is met as a new one.
+func (b *Balancer) forget() {
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
+		old := s.State == Gone && !b.listed(s) && s.inflight == 0 && s.outAt != 0 && b.now-s.outAt >= Time(forgetAfter)
+		if old {
+			delete(b.byID, s.ID)
+		}
+		return old
+	})
+}
+
+// Knows reports whether the server is remembered; what a host keeps of it for later it needs no more otherwise.
+func (b *Balancer) Knows(id ServerID) bool { return b.byID[id] != nil }
+
 // enter takes one entry of a list.
 func (b *Balancer) enter(e Server, kind ListKind) {
 	s := b.byID[e.ID]
+	if s == nil && e.State == Gone {
+		return // there is nothing to remember of it
+	}
 	if s == nil {
 		s = &server{Server: e, unknown: true, limit: firstLimit, outAt: b.now, pause: probeFast}
 		s.fresh = kind == Cached || b.now < b.started+Time(probeEvery)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -792,6 +792,24 @@
 	}
 }
 
+// Servers are replaced all day: those that have gone are forgotten in time, not before their work is back.
+func TestForget(t *testing.T) {
+	g := start(t, base(), 1, fleet(1)...)
+	busy := g.ask(0, 7)
+	for i := range 100 {
+		next := fleet(1)
+		next[0].ID += ServerID(i + 1)
+		g.now += Time(10 * time.Second)
+		g.b.List(g.now, Full, next)
+	}
+	if n := len(g.b.servers); n > 10 || n != len(g.b.byID) {
+		t.Errorf("%d servers are remembered, %d by id", n, len(g.b.byID))
+	}
+	if first := g.open[busy].shots[0].to; !g.b.Knows(first) {
+		t.Error("a server with work out is forgotten")
+	}
+}
+
 // A node's part of a quota may be far under one request a second: it is saved up, and still a limit.
 func TestQuotaOfManyNodes(t *testing.T) {
 	set := base()
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -93,6 +94,7 @@
 		}
 	}
 	r.brain.List(r.now(), g.Kind, servers)
+	maps.DeleteFunc(r.peers, func(id brain.ServerID, _ *Peer) bool { return !r.brain.Knows(id) })
 	if len(r.peers) > 0 {
 		r.ready.Store(true)
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -403,3 +403,22 @@
 		t.Errorf("%d names are kept", n)
 	}
 }
+
+// TestChurn: a peer that the Balancer has forgotten is not kept either.
+func TestChurn(t *testing.T) {
+	r := newRouter(nil, listed(7, 8))
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	if err := r.Run(ctx); err != nil { // it takes the list, and this test makes the rest
+		t.Fatal(err)
+	}
+	r.learn(listed(8))
+	if len(r.peers) != 2 {
+		t.Error("a peer that has just left is not known")
+	}
+	r.brain.List(r.now()+brain.Time(time.Hour), brain.Delta, nil)
+	r.learn(Group{Kind: brain.Delta})
+	if len(r.peers) != 1 || r.peers[8] == nil {
+		t.Errorf("kept: %v", r.peers)
+	}
+}
