--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -7,16 +7,25 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
+// patience is how long a new connection may say nothing, once room is needed.
+// One that sends at once is read by then, or has bytes waiting to be.
+const patience = 100 * time.Millisecond
+
+// slowness is how long a request may take to come, once room is needed.
+const slowness = time.Second
+
 // overflow is how many client connections beyond the bound are taken to be turned away.
 const overflow = 32
 
 // clients bounds the client connections and closes them at need. When they are
-// as many as may be, the one idle for the longest makes room, which costs its
-// client a new connection at most. If none is idle, a few more are taken for a
-// quick reject, since what a client has sent on a connection in the listener's
-// queue counts as taken too; beyond that, new ones wait.
+// as many as may be, one makes room: first one that has never said anything,
+// then the one idle for the longest, which costs its client a new connection at
+// most, then one whose request is slow to come. If there is none, a few more
+// are taken for a quick reject, since what a client has sent on a connection in
+// the listener's queue counts as taken too; beyond that, new ones wait.
 //
 // http.Server could close idle connections itself, but it holds one for idle
 // until a request's head is read: it may close one whose request it goes on to
@@ -31,6 +40,7 @@
 	mu      sync.Mutex
 	changed sync.Cond
 	open    map[*clientConn]bool
+	silent  list.List // nothing has ever been read; the oldest first
 	idle    list.List // the longest idle first
 	closed  bool      // the listener
 	leaving bool      // the node closes what is idle
@@ -49,11 +59,12 @@
 		return nil, err
 	}
 	c.makeRoom()
-	k := &clientConn{Conn: conn, all: c}
+	k := &clientConn{Conn: conn, all: c, since: time.Now()}
 	k.life = newLife(c.log, "client", conn.RemoteAddr().String(), func() { c.forget(k) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[k] = true
+	k.moveTo(&c.silent)
 	return k, nil
 }
 
@@ -61,14 +72,39 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(c.open) >= c.max && !c.closed {
-		if first := c.idle.Front(); first != nil {
-			c.end("evicted", first.Value.(*clientConn))
+		if reason, k := c.spare(time.Now()); k != nil {
+			c.end(reason, k)
 		} else if len(c.open) < c.max+overflow {
 			return
 		} else {
+			wake := time.AfterFunc(patience/2, c.changed.Broadcast) // a silent one may have become old enough
 			c.changed.Wait()
+			wake.Stop()
+		}
+	}
+}
+
+// spare finds the connection whose end costs least. One with bytes to be read
+// is none: they may be a whole request. The lock is held.
+func (c *clients) spare(now time.Time) (reason string, k *clientConn) {
+	for e := c.silent.Front(); e != nil; e = e.Next() {
+		if k = e.Value.(*clientConn); now.Sub(k.since) < patience {
+			break
+		} else if !unread(k.Conn) {
+			return "silent", k
+		}
+	}
+	for e := c.idle.Front(); e != nil; e = e.Next() {
+		if k = e.Value.(*clientConn); !unread(k.Conn) {
+			return "evicted", k
+		}
+	}
+	for k := range c.open {
+		if k.active && !k.whole && !k.gone && now.Sub(k.since) >= slowness && !unread(k.Conn) {
+			return "slow", k
 		}
 	}
+	return "", nil
 }
 
 // end closes connections on which no byte of a request was read. The lock is
@@ -76,7 +112,7 @@
 func (c *clients) end(reason string, some ...*clientConn) {
 	for _, k := range some {
 		k.gone = true
-		c.setIdle(k, false)
+		k.moveTo(nil)
 	}
 	c.mu.Unlock()
 	defer c.mu.Lock()
@@ -86,16 +122,6 @@
 	}
 }
 
-func (c *clients) setIdle(k *clientConn, idle bool) {
-	switch {
-	case idle && k.place == nil:
-		k.place = c.idle.PushBack(k)
-	case !idle && k.place != nil:
-		c.idle.Remove(k.place)
-		k.place = nil
-	}
-}
-
 // crowded reports whether calls must be turned away to keep the bound.
 func (c *clients) crowded() bool {
 	c.mu.Lock()
@@ -162,7 +188,7 @@
 func (c *clients) forget(k *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.setIdle(k, false)
+	k.moveTo(nil)
 	delete(c.open, k)
 	c.changed.Broadcast()
 }
@@ -176,7 +202,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k.active, k.whole, k.next = k.next, false, false
-	c.setIdle(k, !k.active && c.open[k])
+	if !k.active && c.open[k] {
+		k.moveTo(&c.idle)
+	}
 	c.changed.Broadcast()
 }
 
@@ -186,11 +214,13 @@
 	life *life
 	all  *clients
 
-	place  *list.Element // in the list of idle ones; nil: not there
-	active bool          // a byte of an unanswered request has been read
-	whole  bool          // that request has been read whole
-	next   bool          // a byte of the one after it has been read
-	gone   bool          // its end is decided
+	list   *list.List // the one of all's that it stands in; nil: none
+	place  *list.Element
+	since  time.Time // when it was accepted, or its request's first byte was read
+	active bool      // a byte of an unanswered request has been read
+	whole  bool      // that request has been read whole
+	next   bool      // a byte of the one after it has been read
+	gone   bool      // its end is decided
 	raw    framing
 }
 
@@ -207,8 +237,8 @@
 	if k.gone {
 		return 0, net.ErrClosed
 	}
-	k.active, k.next = true, k.next || k.whole
-	k.all.setIdle(k, false)
+	k.begin()
+	k.next = k.next || k.whole
 	k.raw.read(b[:n])
 	return n, err
 }
@@ -219,8 +249,7 @@
 func (k *clientConn) requestBegins() bool {
 	k.all.mu.Lock()
 	defer k.all.mu.Unlock()
-	k.active = true
-	k.all.setIdle(k, false)
+	k.begin()
 	return !k.gone
 }
 
@@ -232,6 +261,24 @@
 	return k.raw.torn, k.raw.over
 }
 
+// begin notes that a request has begun. The lock is held.
+func (k *clientConn) begin() {
+	if !k.active {
+		k.active, k.since = true, time.Now()
+	}
+	k.moveTo(nil)
+}
+
+// moveTo moves the connection to the end of a list, or, by nil, out of any. The lock is held.
+func (k *clientConn) moveTo(l *list.List) {
+	if k.list != nil {
+		k.list.Remove(k.place)
+	}
+	if k.list = l; l != nil {
+		k.place = l.PushBack(k)
+	}
+}
+
 // requestRead notes that all bytes from now on are of the next request.
 func (k *clientConn) requestRead() {
 	k.all.mu.Lock()
--- a/internal/transport/peerconn.go
+++ b/internal/transport/peerconn.go
@@ -1,6 +1,8 @@
 package transport
 
 import (
+	"cmp"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -45,28 +47,38 @@
 // stale says why an idle connection cannot carry a try; "": it can. Whatever
 // there is to read belongs to no request that is still to be sent.
 func (c *peerConn) stale() string {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	switch n, err := peek(c.Conn); {
+	case errors.Is(err, syscall.EAGAIN):
 		return ""
+	case err != nil:
+		return "reset"
+	case n == 0:
+		return "peer-closed"
+	default:
+		return "surplus"
+	}
+}
+
+// unread reports whether bytes wait to be read from a connection.
+func unread(conn net.Conn) bool {
+	n, _ := peek(conn)
+	return n > 0
+}
+
+// peek asks the kernel what there is to read, and takes nothing: 0 bytes mean
+// that the other side has ended, syscall.EAGAIN that there is nothing.
+func peek(conn net.Conn) (n int, err error) {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, syscall.EAGAIN
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return "reset"
+		return 0, err
 	}
-	why := "reset"
+	var failed error
 	err = raw.Control(func(fd uintptr) {
-		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EAGAIN || err == syscall.EINTR:
-			why = ""
-		case err == nil && n > 0:
-			why = "surplus"
-		case err == nil:
-			why = "peer-closed"
-		}
+		n, _, failed = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	if err != nil {
-		return "reset"
-	}
-	return why
+	return n, cmp.Or(err, failed)
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -739,6 +739,58 @@
 	}
 }
 
+// TestSilentCrowd: clients that connect and say nothing make room for those that
+// speak; one whose request waits to be read keeps its connection.
+func TestSilentCrowd(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := make(lines, 100)
+	c := newClients(l, 4, log.log())
+	defer c.Close()
+	var ends []*client
+	accept := func(raw string) *clientConn {
+		end := dial(t, l.Addr().String())
+		io.WriteString(end, raw)
+		ends = append(ends, end)
+		conn, err := c.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn.(*clientConn)
+	}
+	idle, waiting, silent, slow := accept("a"), accept("b"), accept(""), accept("c")
+	idle.Read(make([]byte, 1))
+	c.state(idle, http.StateIdle)
+	slow.Read(make([]byte, 1))
+	for !unread(waiting.Conn) {
+	}
+	fresh := time.Now()
+	for _, want := range []struct {
+		reason string
+		k      *clientConn
+		at     time.Time
+	}{{"evicted", idle, fresh}, {"silent", silent, fresh.Add(time.Hour)}, {"evicted", idle, fresh.Add(time.Hour)},
+		{"slow", slow, fresh.Add(time.Hour)}, {"", nil, fresh.Add(time.Hour)}} {
+		c.mu.Lock()
+		reason, k := c.spare(want.at)
+		if reason != want.reason || reason != "" && k != want.k {
+			t.Errorf("%q, want %q", reason, want.reason)
+		}
+		if k != nil && want.at != fresh {
+			c.end(reason, k)
+		}
+		c.mu.Unlock()
+	}
+	// a full house of silent ones must not stop Accept
+	for range 4 + overflow {
+		accept("")
+	}
+	accept("d")
+	log.until("reason=silent", ends[2].LocalAddr().String())
+}
+
 // TestSilentWatch: a call that never comes back is asked again at once, once.
 func TestSilentWatch(t *testing.T) {
 	asked := make(chan bool, 10)
