Let reloaded settings and limits take effect whole, or not at all

SIGHUP moved the watch only. Now the module (Balancer.Set), the carrier, the bound on client connections and the runtime's limits follow the file; what cannot change in a running node (name, listen, the names in the settings' lists, whose places open calls carry) refuses the whole file. The deadline that a drain waits for was read beside the reload: a race, gone.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,9 +49,8 @@
 	if len(set.Classes) == 0 {
 		return nil, fmt.Errorf("brain: settings have no classes")
 	}
-	set.Nodes, set.TryLimit = max(set.Nodes, 1), min(max(set.TryLimit, 1), maxAttempts)
 	b := &Balancer{
-		set: set, host: host, now: now, started: now, rng: seed ^ 0x9e3779b97f4a7c15, dirty: true, built: -1,
+		set: set.bounded(), host: host, now: now, started: now, rng: seed ^ 0x9e3779b97f4a7c15, dirty: true, built: -1,
 		byID: map[ServerID]*server{}, open: map[RequestID]*request{}, byKey: map[uint64]*line{},
 		carryAt: now, askAt: now, retries: 3, window: math.Inf(1),
 	}
@@ -69,6 +68,27 @@
 	return b, nil
 }
 
+func (s Settings) bounded() Settings {
+	s.Nodes, s.TryLimit = max(s.Nodes, 1), min(max(s.TryLimit, 1), maxAttempts)
+	return s
+}
+
+// Set takes changed settings. Their classes and tenants stand where they stood: what was learnt stays theirs.
+func (b *Balancer) Set(now Time, set Settings) error {
+	if len(set.Classes) != len(b.classes) || len(set.Tenants) != len(b.tenants) {
+		return fmt.Errorf("brain: classes or tenants are more or fewer than before")
+	}
+	b.now, b.set, b.dirty = now, set.bounded(), true
+	for i, c := range set.Classes {
+		b.classes[i].Class = c
+	}
+	for i, t := range set.Tenants {
+		b.tenants[i].Tenant = t
+	}
+	b.rankClasses()
+	return nil
+}
+
 // Request takes a client's request: it is sent, or answered at once.
 func (b *Balancer) Request(now Time, in Request) {
 	b.now = now
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -792,6 +793,27 @@
 	}
 }
 
+// Changed settings hold from the next decision on; what was learnt stays, and so do the lists' lengths.
+func TestSet(t *testing.T) {
+	set := base()
+	g := start(t, set, 1, fleet(3)...)
+	lat := g.b.classes[0].lat
+	set.TryLimit, set.Nodes = 1, 0
+	set.Classes = slices.Clone(set.Classes)
+	set.Classes[0].Worth = 99
+	if err := g.b.Set(g.now, set); err != nil || g.b.set.Nodes != 1 || g.b.classes[0].Worth != 99 || g.b.classes[0].lat != lat {
+		t.Errorf("%v, %+v", err, g.b.classes[0])
+	}
+	id := g.ask(0, 7)
+	if g.answer(id, 0, Rejected); len(g.open[id].shots) != 1 {
+		t.Errorf("%d attempts of one allowed", len(g.open[id].shots))
+	}
+	set.Classes = set.Classes[1:]
+	if err := g.b.Set(g.now, set); err == nil || len(g.b.set.Classes) != len(g.b.classes) {
+		t.Error("a class fewer was taken")
+	}
+}
+
 // Servers are replaced all day: those that have gone are forgotten in time, not before their work is back.
 func TestForget(t *testing.T) {
 	g := start(t, base(), 1, fleet(1)...)
--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"olivebridge/internal/protocol"
 	"olivebridge/internal/routing"
@@ -44,16 +45,12 @@
 	defer out.Close()
 	log := slog.New(slog.NewTextHandler(out, nil))
 
-	descriptors := max((c.Sockets-spareDescriptors)/2, 8)
-	carrier := transport.NewCarrier(transport.CarrierConfig{
-		ConnectTimeout: c.ConnectTimeout, IdleClose: c.IdleClose, DrainGrace: c.Settings.DrainGrace,
-		MaxConns: descriptors, Log: log,
-	})
+	carrier := transport.NewCarrier(carrierConfig(c, log))
 	router := routing.New(routing.Config{
 		Settings: c.Settings, Seed: c.Seed, Known: c.Known, Carrier: carrier,
 		Watcher: transport.NewWatch(c.Discovery, c.Names, c.KnownVersion, log), Log: log,
 	})
-	front := transport.NewFront(listener, c.Names, router, descriptors, log)
+	front := transport.NewFront(listener, c.Names, router, descriptors(c), log)
 
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -76,13 +73,13 @@
 			case drained == nil:
 				log.Info("draining", "signal", s.String())
 				drained = make(chan struct{})
-				go func() {
-					front.Drain(c.LongestDeadline)
+				go func(longest time.Duration) {
+					front.Drain(longest)
 					close(drained)
-				}()
+				}(c.LongestDeadline)
 			}
 		case <-reloads:
-			c = reload(c, router, log)
+			c = reload(c, carrier, router, front, log)
 		case <-drained:
 			carrier.Close()
 			counters("exit")
@@ -99,7 +96,8 @@
 
 // reload reads the configuration again at SIGHUP and returns what holds from
 // then on. A bad one changes nothing: calls, and the watch, go on as before.
-func reload(old *protocol.Config, router *routing.Router, log *slog.Logger) *protocol.Config {
+func reload(old *protocol.Config, carrier *transport.Carrier, router *routing.Router, front *transport.Front,
+	log *slog.Logger) *protocol.Config {
 	c, err := old.Reload(os.Getenv, os.ReadFile)
 	if err != nil {
 		log.Error("reload refused", "reason", err.Error())
@@ -109,6 +107,10 @@
 		// versions of another discovery need not compare with those held: it is asked for the whole list
 		router.Follow(transport.NewWatch(c.Discovery, c.Names, -1, log))
 	}
+	router.Set(c.Settings)
+	carrier.Configure(carrierConfig(c, log))
+	front.Bound(descriptors(c))
+	setLimits(c)
 	log.Info("reloaded", "discovery", c.Discovery)
 	return c
 }
@@ -116,6 +118,14 @@
 // spareDescriptors are kept for discovery, the log and the runtime.
 const spareDescriptors = 64
 
+// descriptors is how many each side may hold, clients and peers.
+func descriptors(c *protocol.Config) int { return max((c.Sockets-spareDescriptors)/2, 8) }
+
+func carrierConfig(c *protocol.Config, log *slog.Logger) transport.CarrierConfig {
+	return transport.CarrierConfig{ConnectTimeout: c.ConnectTimeout, IdleClose: c.IdleClose,
+		DrainGrace: c.Settings.DrainGrace, MaxConns: descriptors(c), Log: log}
+}
+
 // setLimits keeps the node within its machine. Memory gets a margin for what
 // the Go runtime does not count.
 func setLimits(c *protocol.Config) {
--- a/cmd/olivebridge/main_test.go
+++ b/cmd/olivebridge/main_test.go
@@ -325,6 +325,8 @@
 	if len(asked) != 0 {
 		t.Error("a refused file moved the watch")
 	}
+	hup(`"name":"book"`, `"name":"gift"`)
+	n.until(t, `msg="reload refused" reason="configuration: a name in settings.classes `)
 	hup("{", moved)
 	if uri := <-asked; uri != "/registry/instances" {
 		t.Errorf("asked for %s: versions of another discovery do not compare", uri)
@@ -333,6 +335,9 @@
 	if got := <-status; got != 200 {
 		t.Errorf("the open call: %d", got)
 	}
+	hup(`"connect_timeout":75000000`, `"connect_timeout":1`) // settings take effect as well
+	n.until(t, "msg=reloaded")
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
 	n.cmd.Process.Signal(syscall.SIGTERM)
 	n.until(t, "msg=draining")
 	n.cmd.Process.Signal(syscall.SIGHUP)
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"strconv"
 	"time"
@@ -110,6 +111,11 @@
 		same bool
 	}{
 		{"name", n.fileName == c.fileName}, {"listen", n.fileListen == c.fileListen},
+		// calls in hand carry places in these lists
+		{"a name in settings.classes", maps.Equal(n.Names.Classes, c.Names.Classes)},
+		{"a name in settings.tenants", maps.Equal(n.Names.Callers, c.Names.Callers)},
+		{"a name in settings.zones", maps.Equal(n.Names.Zones, c.Names.Zones)},
+		{"a name in settings.kinds", maps.Equal(n.Names.Kinds, c.Names.Kinds)},
 	} {
 		if !v.same {
 			return nil, fmt.Errorf("configuration: %s cannot change in a running node", v.name)
@@ -141,6 +147,7 @@
 	if c.Settings, err = settings.DecodeJSON(in.Settings); err != nil {
 		return err
 	}
+	c.Settings.Ask = true // on sockets no list comes unasked, whatever the simulator's deployment does
 	var set settingsJSON
 	if err := json.Unmarshal(in.Settings, &set); err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -31,7 +31,6 @@
 // Router owns a Balancer and is its Host. All fields below events belong to
 // the goroutine of Run.
 type Router struct {
-	set     brain.Settings
 	seed    uint64
 	known   Group
 	carrier Carrier
@@ -40,9 +39,11 @@
 	count   *Counters
 	start   time.Time
 	ready   atomic.Bool
+	advice  atomic.Int64 // set.MaxRetryAfter, for Take
 	events  chan event
 	stopped chan struct{}
 
+	set    brain.Settings
 	ctx    context.Context
 	brain  *brain.Balancer
 	peers  map[brain.ServerID]*Peer
@@ -54,12 +55,14 @@
 
 // New makes a Router; Run starts its decisions.
 func New(c Config) *Router {
-	return &Router{
+	r := &Router{
 		set: c.Settings, seed: c.Seed, known: c.Known, carrier: c.Carrier, watcher: c.Watcher, log: c.Log,
 		count: new(Counters), start: time.Now(), events: make(chan event, queueLength),
 		stopped: make(chan struct{}), peers: map[brain.ServerID]*Peer{}, open: map[brain.RequestID]*openCall{},
 		names: map[string]struct{}{},
 	}
+	r.advice.Store(int64(c.Settings.MaxRetryAfter))
+	return r
 }
 
 // Ready reports whether calls can be decided: the upstream group is known.
@@ -152,6 +155,22 @@
 
 func (e wakeEvent) handle(r *Router) { r.brain.Wake(r.now(), uint64(e)) }
 
+// setEvent brings changed settings.
+type setEvent struct{ set brain.Settings }
+
+func (e setEvent) handle(r *Router) {
+	if err := r.brain.Set(r.now(), e.set); err != nil {
+		r.log.Error("settings not taken", "reason", err.Error())
+		return
+	}
+	r.set = e.set
+	r.advice.Store(int64(e.set.MaxRetryAfter))
+}
+
+// Set changes the settings of a running router. Their classes and tenants must
+// stand where they stood.
+func (r *Router) Set(set brain.Settings) { r.post(setEvent{set}) }
+
 // SetTimer implements brain.Host.
 func (r *Router) SetTimer(d time.Duration, ref uint64) {
 	time.AfterFunc(d, func() { r.post(wakeEvent(ref)) })
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -35,7 +35,7 @@
 	case r.events <- admitEvent{e}:
 	case <-end.C: // guards against an overfull queue: it was never admitted, so it never ran
 		r.count.QueueFull.Add(1)
-		return Answer{Verdict: Reject, RetryAfter: r.set.MaxRetryAfter}, true
+		return Answer{Verdict: Reject, RetryAfter: time.Duration(r.advice.Load())}, true
 	case <-r.stopped:
 		return Answer{Verdict: Reject}, true
 	case <-ctx.Done():
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"olivebridge/brain"
@@ -29,20 +30,26 @@
 
 // Carrier brings tries and probes to peers over pooled connections.
 type Carrier struct {
-	config  CarrierConfig
+	config  atomic.Pointer[CarrierConfig]
 	pool    *pool
 	readers sync.Pool // a connection needs its buffer only while it carries a try
 }
 
 // NewCarrier makes a Carrier.
 func NewCarrier(c CarrierConfig) *Carrier {
-	return &Carrier{config: c,
-		pool: &pool{
-			connect: c.ConnectTimeout, settle: settle, most: c.MaxConns, log: c.Log, idle: map[*routing.Peer][]*peerConn{},
-			keep: c.IdleClose * 7 / 10, // safely before the peer closes: a request crossing that is reset
-		},
+	k := &Carrier{
+		pool:    &pool{settle: settle, log: c.Log, idle: map[*routing.Peer][]*peerConn{}},
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 	}
+	k.Configure(c)
+	return k
+}
+
+// Configure changes a Carrier in use, but for its log.
+func (k *Carrier) Configure(c CarrierConfig) {
+	k.config.Store(&c)
+	// Connections are closed safely before the peer does: a request that crosses its closing is reset.
+	k.pool.configure(c.ConnectTimeout, c.IdleClose*7/10, c.MaxConns)
 }
 
 // Close closes the connections that carry nothing.
@@ -61,7 +68,7 @@
 
 // Probe implements routing.Carrier.
 func (k *Carrier) Probe(ctx context.Context, p *routing.Peer) brain.Result {
-	ctx, stop := context.WithTimeoutCause(ctx, 4*k.config.ConnectTimeout, routing.ErrTimeUp)
+	ctx, stop := context.WithTimeoutCause(ctx, 4*k.config.Load().ConnectTimeout, routing.ErrTimeUp)
 	defer stop()
 	m := &message{method: http.MethodGet, target: protocol.PathLive, host: p.Addr}
 	return k.exchange(ctx, p, m, http.Header{}).Result
@@ -78,7 +85,7 @@
 	case ctx.Err() != nil:
 		k.pool.put(c)
 		return routing.TryResult{Result: brain.Moot}
-	case !p.OpenFor(time.Now(), k.config.DrainGrace):
+	case !p.OpenFor(time.Now(), k.config.Load().DrainGrace):
 		c.end("not-sent")
 		return routing.TryResult{Result: brain.Moot}
 	}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -52,6 +52,13 @@
 	return c
 }
 
+func (c *clients) bound(most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.max = max(most, 1)
+	c.changed.Broadcast()
+}
+
 // Accept implements net.Listener.
 func (c *clients) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -85,6 +85,9 @@
 	return fmt.Errorf("front: %w", err)
 }
 
+// Bound changes how many client connections there may be.
+func (f *Front) Bound(maxClients int) { f.clients.bound(maxClients) }
+
 // Shed counts the requests turned away for want of descriptors.
 func (f *Front) Shed() int64 { return f.shed.Load() }
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -28,13 +28,13 @@
 // Connections belong to a peer, not to its address: one to a server that has
 // left the upstream group must not carry a try for its successor there.
 type pool struct {
-	connect time.Duration // a connection that comes later has not come
-	keep    time.Duration // how long one may lie idle
-	settle  time.Duration
-	most    int // connections, open and being opened
-	log     *slog.Logger
+	settle time.Duration
+	log    *slog.Logger
 
 	mu       sync.Mutex
+	connect  time.Duration // a connection that comes later has not come
+	keep     time.Duration // how long one may lie idle
+	most     int           // connections, open and being opened
 	open     int
 	idle     map[*routing.Peer][]*peerConn // the longest idle first
 	sweeping bool                          // a sweep is due
@@ -49,10 +49,11 @@
 		}
 		return c, nil
 	}
-	if !p.reserve() {
+	connect, ok := p.reserve()
+	if !ok {
 		return nil, errNoRoom
 	}
-	d := net.Dialer{Timeout: p.connect, KeepAlive: -1}
+	d := net.Dialer{Timeout: connect, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", peer.Addr)
 	if err != nil {
 		p.release()
@@ -96,30 +97,35 @@
 	}
 }
 
-// reserve counts a connection to be opened. At the bound the one idle for the
-// longest makes room: a handshake more beats a try less.
-func (p *pool) reserve() bool {
+// reserve counts a connection to be opened and says how long that may take. At
+// the bound the one idle for the longest makes room: a handshake more beats a
+// try less.
+func (p *pool) reserve() (connect time.Duration, ok bool) {
 	p.mu.Lock()
-	if p.open < p.most {
-		p.open++
-		p.mu.Unlock()
-		return true
-	}
-	var oldest *peerConn
-	for _, list := range p.idle {
-		if oldest == nil || list[0].freed.Before(oldest.freed) {
-			oldest = list[0]
+	defer p.mu.Unlock()
+	for p.open >= p.most {
+		var oldest *peerConn
+		for _, list := range p.idle {
+			if oldest == nil || list[0].freed.Before(oldest.freed) {
+				oldest = list[0]
+			}
 		}
-	}
-	if oldest == nil {
+		if oldest == nil {
+			return 0, false
+		}
+		p.set(oldest.peer, p.idle[oldest.peer][1:])
 		p.mu.Unlock()
-		return false
+		oldest.end("idle")
+		p.mu.Lock()
 	}
-	p.set(oldest.peer, p.idle[oldest.peer][1:])
-	p.open++ // its place
-	p.mu.Unlock()
-	oldest.end("idle")
-	return true
+	p.open++
+	return p.connect, true
+}
+
+func (p *pool) configure(connect, keep time.Duration, most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.connect, p.keep, p.most = connect, keep, most
 }
 
 func (p *pool) release() {
@@ -131,7 +137,7 @@
 // sweep closes what has lain idle for too long, or has been ended by its peer,
 // as long as any is idle.
 func (p *pool) sweep() {
-	p.drop(func(c *peerConn) string {
+	p.drop(func(c *peerConn) string { // the lock is held
 		if why := c.stale(); why != "" || time.Since(c.freed) < p.keep {
 			return why
 		}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -325,6 +325,20 @@
 	}
 }
 
+// TestConfigure: changed limits hold from the next connection on.
+func TestConfigure(t *testing.T) {
+	p, _ := answering(t, ok)
+	k, log := newCarrier(time.Second)
+	k.Configure(CarrierConfig{ConnectTimeout: 1, IdleClose: time.Minute, MaxConns: 1, Log: log.log()})
+	if r := k.Try(t.Context(), tryOf(p, "GET", "")); r.Result != brain.ConnectFailed {
+		t.Errorf("result %d with no time to connect", r.Result)
+	}
+	k.Configure(CarrierConfig{ConnectTimeout: time.Second, IdleClose: time.Minute, MaxConns: 0, Log: log.log()})
+	if r := k.Try(t.Context(), tryOf(p, "GET", "")); r.Result != brain.Moot {
+		t.Errorf("result %d with no connection allowed", r.Result)
+	}
+}
+
 // TestLeavingPeer holds the drain rule where it counts, at the first byte: a
 // peer past its grace gets none, though the connection is up.
 func TestLeavingPeer(t *testing.T) {
