Take a client's bytes under the lock that decides on ends; pass on larger answers

Cause of the loss, clients.go: clientConn.Read took bytes from the kernel first and the lock after; in between an eviction found the connection idle and with nothing unread, and closed it. The client saw an end without a reset: its request had been taken. Read now takes bytes inside the lock; what is unread at a close makes the kernel send a reset, and the client sends that again. At most 16 connections are looked at a time. Ruled out: header timeouts and sheds (both answer or count as unsent). Test: TestEndAgainstRequest finds the bytes still in the kernel.

Cause of the break-down at 2.5 s: 1,116 connections ended as oversize. A probe printed the lengths: 167,240 to 393,146 bytes, the same for a call at each peer tried, so good answers, six times the protocol's 64 KiB; each failure went to the next peer and lowered every counter. An answer may now take 1/64 of the memory. Test: TestLargeAnswers.

--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -121,9 +121,14 @@
 // descriptors is how many each side may hold, clients and peers.
 func descriptors(c *protocol.Config) int { return max((c.Sockets-spareDescriptors)/2, 8) }
 
+// answerPart is the part of the memory that one answer may take. Peers have been
+// seen to send several times the 64 KiB of the protocol; to fail such answers
+// sends their calls to one peer after the other.
+const answerPart = 64
+
 func carrierConfig(c *protocol.Config, log *slog.Logger) transport.CarrierConfig {
 	return transport.CarrierConfig{ConnectTimeout: c.ConnectTimeout, IdleClose: c.IdleClose,
-		DrainGrace: c.Settings.DrainGrace, MaxConns: descriptors(c), Log: log}
+		DrainGrace: c.Settings.DrainGrace, MaxConns: descriptors(c), MaxAnswer: c.MemoryMB << 20 / answerPart, Log: log}
 }
 
 // setLimits keeps the node within its machine. Memory gets a margin for what
--- a/internal/transport/answer.go
+++ b/internal/transport/answer.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"net/http/httputil"
 	"strings"
-
-	"olivebridge/internal/protocol"
 )
 
 // errSpoilt marks an answer that breaks HTTP/1.1 or its own word. Its try may
@@ -33,10 +31,10 @@
 	last   bool // the peer ends the connection with it
 }
 
-// readAnswer reads the one answer to a request. Any error but errSpoilt is one
+// readAnswer reads the one answer to a request, of at most most bytes. Any error but errSpoilt is one
 // of reading. It guards calls against being served with what no peer made for
 // them: http.ReadResponse alone lets two lengths in one head pass.
-func readAnswer(in *bufio.Reader, method string) (*answer, error) {
+func readAnswer(in *bufio.Reader, method string, most int64) (*answer, error) {
 	for room := maxHead; ; {
 		head, err := readHead(in, room)
 		if err != nil {
@@ -61,7 +59,7 @@
 			continue
 		}
 		a := &answer{status: resp.StatusCode, header: resp.Header, last: resp.Close}
-		a.body, err = readAnswerBody(in, resp)
+		a.body, err = readAnswerBody(in, resp, most)
 		return a, err
 	}
 }
@@ -98,31 +96,31 @@
 	}
 }
 
-func readAnswerBody(in *bufio.Reader, resp *http.Response) (body []byte, err error) {
+func readAnswerBody(in *bufio.Reader, resp *http.Response, most int64) (body []byte, err error) {
 	switch {
 	case resp.Body == http.NoBody:
 		return nil, nil
-	case resp.ContentLength > protocol.MaxBody:
+	case resp.ContentLength > most:
 		return nil, errOversize
 	case resp.ContentLength >= 0:
 		body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(in, body)
 		return body, err
 	case len(resp.TransferEncoding) > 0:
-		if body, err = readBounded(httputil.NewChunkedReader(in)); err == nil {
+		if body, err = readBounded(httputil.NewChunkedReader(in), most); err == nil {
 			err = skipTrailer(in)
 		}
 	case strings.EqualFold(resp.Header.Get("Connection"), "close"):
-		body, err = readBounded(in)
+		body, err = readBounded(in, most)
 	default: // the end of the connection would be no sign that it is whole
 		err = spoilt("no length")
 	}
 	return body, err
 }
 
-func readBounded(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, protocol.MaxBody+1))
-	if err == nil && len(body) > protocol.MaxBody {
+func readBounded(r io.Reader, most int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, most+1))
+	if err == nil && int64(len(body)) > most {
 		err = errOversize
 	}
 	return body, err
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -25,6 +25,7 @@
 	IdleClose      time.Duration // peers close a connection idle for this long
 	DrainGrace     time.Duration // first bytes to a leaving peer end within this time
 	MaxConns       int           // connections to all peers together
+	MaxAnswer      int           // bytes of an answer's body; at least protocol.MaxBody is taken
 	Log            *slog.Logger
 }
 
@@ -103,7 +104,7 @@
 	}
 	in := k.readers.Get().(*bufio.Reader)
 	in.Reset(c)
-	a, err := readAnswer(in, m.method)
+	a, err := readAnswer(in, m.method, int64(max(k.config.Load().MaxAnswer, protocol.MaxBody)))
 	surplus := in.Buffered() > 0
 	in.Reset(nil)
 	k.readers.Put(in)
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -3,10 +3,13 @@
 import (
 	"container/list"
 	"context"
+	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +20,9 @@
 // slowness is how long a request may take to come, once room is needed.
 const slowness = time.Second
 
+// mostLooks bounds how many connections are looked at for one that can end.
+const mostLooks = 16
+
 // overflow is how many client connections beyond the bound are taken to be turned away.
 const overflow = 32
 
@@ -67,6 +73,13 @@
 	}
 	c.makeRoom()
 	k := &clientConn{Conn: conn, all: c, since: time.Now()}
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("client connection: %T has no descriptor", conn)
+	}
+	if k.raw, err = s.SyscallConn(); err != nil {
+		return nil, fmt.Errorf("client connection: %w", err)
+	}
 	k.life = newLife(c.log, "client", conn.RemoteAddr().String(), func() { c.forget(k) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -94,14 +107,18 @@
 // spare finds the connection whose end costs least. One with bytes to be read
 // is none: they may be a whole request. The lock is held.
 func (c *clients) spare(now time.Time) (reason string, k *clientConn) {
-	for e := c.silent.Front(); e != nil; e = e.Next() {
+	looks := 0 // at the kernel: the lock holds every read up
+	for e := c.silent.Front(); e != nil && looks < mostLooks; e = e.Next() {
+		looks++
 		if k = e.Value.(*clientConn); now.Sub(k.since) < patience {
 			break
 		} else if !unread(k.Conn) {
 			return "silent", k
 		}
 	}
-	for e := c.idle.Front(); e != nil; e = e.Next() {
+	looks = 0
+	for e := c.idle.Front(); e != nil && looks < mostLooks; e = e.Next() {
+		looks++
 		if k = e.Value.(*clientConn); !unread(k.Conn) {
 			return "evicted", k
 		}
@@ -221,32 +238,49 @@
 	life *life
 	all  *clients
 
-	list   *list.List // the one of all's that it stands in; nil: none
-	place  *list.Element
-	since  time.Time // when it was accepted, or its request's first byte was read
-	active bool      // a byte of an unanswered request has been read
-	whole  bool      // that request has been read whole
-	next   bool      // a byte of the one after it has been read
-	gone   bool      // its end is decided
-	raw    framing
+	list    *list.List // the one of all's that it stands in; nil: none
+	place   *list.Element
+	since   time.Time       // when it was accepted, or its request's first byte was read
+	active  bool            // a byte of an unanswered request has been read
+	whole   bool            // that request has been read whole
+	next    bool            // a byte of the one after it has been read
+	gone    bool            // its end is decided
+	raw     syscall.RawConn // of Conn
+	framing framing
 }
 
-// Read implements net.Conn. Bytes that come once the end is decided are not
-// taken: their request must not be served, since its client sends it again.
-func (k *clientConn) Read(b []byte) (int, error) {
-	n, err := k.Conn.Read(b)
-	k.life.read(err, "client-closed", "client-reset")
-	if n == 0 {
-		return n, err
-	}
-	k.all.mu.Lock()
-	defer k.all.mu.Unlock()
-	if k.gone {
-		return 0, net.ErrClosed
+// Read implements net.Conn. Bytes are taken from the kernel under the lock, so
+// that whether the connection ends is decided either before or after: a request
+// whose bytes were taken counts as taken, and to close on it would lose it. One
+// that is still unread when the node closes is sent again by its client, which
+// the kernel tells by a reset.
+func (k *clientConn) Read(b []byte) (n int, err error) {
+	failed := k.raw.Read(func(fd uintptr) (done bool) {
+		k.all.mu.Lock()
+		defer k.all.mu.Unlock()
+		if k.gone {
+			err = net.ErrClosed
+			return true
+		}
+		for err = syscall.EINTR; err == syscall.EINTR; {
+			n, err = syscall.Read(int(fd), b)
+		}
+		if n > 0 {
+			k.begin()
+			k.next = k.next || k.whole
+			k.framing.read(b[:n])
+		}
+		return err != syscall.EAGAIN
+	})
+	switch {
+	case failed != nil:
+		n, err = 0, failed
+	case err == nil && n == 0 && len(b) > 0:
+		err = io.EOF
+	case err != nil:
+		n, err = 0, &net.OpError{Op: "read", Net: "tcp", Source: k.LocalAddr(), Addr: k.RemoteAddr(), Err: err}
 	}
-	k.begin()
-	k.next = k.next || k.whole
-	k.raw.read(b[:n])
+	k.life.read(err, "client-closed", "client-reset")
 	return n, err
 }
 
@@ -265,7 +299,7 @@
 func (k *clientConn) framed() (torn, last bool) {
 	k.all.mu.Lock()
 	defer k.all.mu.Unlock()
-	return k.raw.torn, k.raw.over
+	return k.framing.torn, k.framing.over
 }
 
 // begin notes that a request has begun. The lock is held.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -325,6 +326,19 @@
 	}
 }
 
+// TestLargeAnswers: peers send more than the protocol says, and memory bounds what is taken.
+func TestLargeAnswers(t *testing.T) {
+	for n, want := range map[int]brain.Result{200 << 10: brain.OK, 200<<10 + 1: brain.Errored} {
+		p, _ := answering(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", n, strings.Repeat("x", n)))
+		k, l := newCarrier(time.Second)
+		k.Configure(CarrierConfig{ConnectTimeout: time.Second, IdleClose: time.Minute, MaxConns: 1, MaxAnswer: 200 << 10, Log: l.log()})
+		r := k.Try(t.Context(), tryOf(p, "GET", ""))
+		if r.Result != want || want == brain.OK && len(r.Reply.(*reply).body) != n {
+			t.Errorf("%d bytes: result %d, want %d", n, r.Result, want)
+		}
+	}
+}
+
 // TestConfigure: changed limits hold from the next connection on.
 func TestConfigure(t *testing.T) {
 	p, _ := answering(t, ok)
@@ -718,8 +732,8 @@
 		c.state(k, http.StateIdle)
 	}
 	decided.gone = true // as leave does, just before it closes
-	if n, err := decided.Read(b); n != 0 || err != net.ErrClosed {
-		t.Errorf("%d bytes, %v after the end was decided", n, err)
+	if n, err := decided.Read(b); n != 0 || !errors.Is(err, net.ErrClosed) || !unread(decided.Conn) {
+		t.Errorf("%d bytes, %v after the end was decided; or they were taken, and their client is told so", n, err)
 	}
 	decided.gone = false
 	c.leave()
