--- a/brain/brain.go
+++ b/brain/brain.go
@@ -50,7 +50,8 @@
 		return nil, fmt.Errorf("brain: settings have no classes")
 	}
 	b := &Balancer{
-		set: set.bounded(), host: host, now: now, started: now, rng: seed ^ 0x9e3779b97f4a7c15, dirty: true, built: -1,
+		set: set.bounded(), host: host, now: now, started: now, rng: seed ^ 0x9e3779b97f4a7c15,
+		dirty: true, built: -1,
 		byID: map[ServerID]*server{}, open: map[RequestID]*request{}, byKey: map[uint64]*line{},
 		carryAt: now, askAt: now, retries: 3, window: math.Inf(1),
 	}
@@ -562,7 +563,8 @@
 // are replaced all day; one that comes back after that is met as a new one.
 func (b *Balancer) forget() {
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
-		old := s.State == Gone && !b.listed(s) && s.inflight == 0 && s.outAt != 0 && b.now-s.outAt >= Time(forgetAfter)
+		old := s.State == Gone && !b.listed(s) && s.inflight == 0 &&
+			s.outAt != 0 && b.now-s.outAt >= Time(forgetAfter)
 		if old {
 			delete(b.byID, s.ID)
 		}
@@ -570,7 +572,7 @@
 	})
 }
 
-// Knows reports whether the server is remembered; what a host keeps of it for later it needs no more otherwise.
+// Knows reports whether the server is remembered; a host needs to keep nothing of others.
 func (b *Balancer) Knows(id ServerID) bool { return b.byID[id] != nil }
 
 // enter takes one entry of a list.
@@ -821,9 +823,9 @@
 	return max(int(s.size/most*share*weightSteps+0.5), 1)
 }
 
-// build fills the Maglev table (Eisenbud et al., NSDI 2016), and one of this zone's servers where crossing costs
-// more than the imbalance of so few. As many keys keep to it first as the zone's part can carry, and as the rest
-// can once one of its servers has failed. It costs a key a warm server in each zone.
+// build fills the Maglev table (Eisenbud et al., NSDI 2016), and one of this zone's servers where crossing
+// costs more than the imbalance of so few. As many keys keep to it first as the zone's part can carry, and
+// as it can once one of its servers has failed. It costs a key a warm server in each zone.
 func (b *Balancer) build() {
 	b.dirty, b.built = false, b.now
 	most, all, own, n := 0, 0.0, 0.0, 0.0
