--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -58,7 +58,7 @@
 	go func() { ended <- router.Run(ctx) }()
 	go func() { ended <- front.Serve() }()
 	counters := func(when string) {
-		log.Info("counters", "when", when, "malformed", front.Malformed(), "shed", front.Shed(),
+		log.Info("counters", "when", when, "malformed", front.Malformed(), "shed", front.Shed(), "clients", front.Clients(),
 			"calls", router.Counters().String())
 	}
 	log.Info("started", "name", c.Name, "listen", listener.Addr().String(), "peers", len(c.Known.Entries),
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -200,6 +200,25 @@
 	return len(some) > 0
 }
 
+// String counts the client connections by what they do, one line.
+func (c *clients) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reading, calls, ending := 0, 0, 0
+	for k := range c.open {
+		switch {
+		case k.gone:
+			ending++
+		case k.active && k.whole:
+			calls++
+		case k.active:
+			reading++
+		}
+	}
+	return fmt.Sprintf("open=%d silent=%d idle=%d reading=%d calls=%d ending=%d",
+		len(c.open), c.silent.Len(), c.idle.Len(), reading, calls, ending)
+}
+
 // Close implements net.Listener.
 func (c *clients) Close() error {
 	c.mu.Lock()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -88,6 +88,9 @@
 // Bound changes how many client connections there may be.
 func (f *Front) Bound(maxClients int) { f.clients.bound(maxClients) }
 
+// Clients counts the client connections by what they do, as name=value.
+func (f *Front) Clients() string { return f.clients.String() }
+
 // Shed counts the requests turned away for want of descriptors.
 func (f *Front) Shed() int64 { return f.shed.Load() }
 
