Bound idle client connections at a quarter of the descriptors, and at 2.1 s

They ask once and keep theirs, so new requests find no connection left. The bound of 160 never came to the idle ones: a silent connection every 21 ms made the room.

Ruled out by counters and ss: sheds, a blocked Accept, CPU (0.25 at most), peers. Now whatever falls idle beyond a quarter of the descriptors ends the longest idle. Test: TestIdleBound.

--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -50,7 +50,7 @@
 		Settings: c.Settings, Seed: c.Seed, Known: c.Known, Carrier: carrier,
 		Watcher: transport.NewWatch(c.Discovery, c.Names, c.KnownVersion, log), Log: log,
 	})
-	front := transport.NewFront(listener, c.Names, router, descriptors(c), log)
+	front := transport.NewFront(listener, c.Names, router, clientBounds(c), log)
 
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -109,7 +109,7 @@
 	}
 	router.Set(c.Settings)
 	carrier.Configure(carrierConfig(c, log))
-	front.Bound(descriptors(c))
+	front.Bound(clientBounds(c))
 	setLimits(c)
 	log.Info("reloaded", "discovery", c.Discovery)
 	return c
@@ -121,6 +121,12 @@
 // descriptors is how many each side may hold, clients and peers.
 func descriptors(c *protocol.Config) int { return max((c.Sockets-spareDescriptors)/2, 8) }
 
+// clientBounds keeps idle client connections well under the third of the
+// descriptors that clients may hold.
+func clientBounds(c *protocol.Config) transport.ClientBounds {
+	return transport.ClientBounds{Open: descriptors(c), Idle: c.Sockets / 4}
+}
+
 // answerPart is the part of the memory that one answer may take. Peers have been
 // seen to send several times the 64 KiB of the protocol; to fail such answers
 // sends their calls to one peer after the other.
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -26,6 +26,15 @@
 // overflow is how many client connections beyond the bound are taken to be turned away.
 const overflow = 32
 
+// ClientBounds bound the client connections of a node.
+type ClientBounds struct {
+	Open int // all of them
+	// Idle bounds those between requests. Clients may hold only so many to a
+	// node, and whoever asks once and keeps his takes one from the others:
+	// beyond this the longest idle is closed.
+	Idle int
+}
+
 // clients bounds the client connections and closes them at need. When they are
 // as many as may be, one makes room: first one that has never said anything,
 // then the one idle for the longest, which costs its client a new connection at
@@ -41,10 +50,11 @@
 type clients struct {
 	net.Listener
 	log *slog.Logger
-	max int
 
 	mu      sync.Mutex
 	changed sync.Cond
+	max     int // open
+	maxIdle int
 	open    map[*clientConn]bool
 	silent  list.List // nothing has ever been read; the oldest first
 	idle    list.List // the longest idle first
@@ -52,16 +62,16 @@
 	leaving bool      // the node closes what is idle
 }
 
-func newClients(l net.Listener, most int, log *slog.Logger) *clients {
-	c := &clients{Listener: l, max: max(most, 1), log: log, open: map[*clientConn]bool{}}
+func newClients(l net.Listener, b ClientBounds, log *slog.Logger) *clients {
+	c := &clients{Listener: l, max: max(b.Open, 1), maxIdle: b.Idle, log: log, open: map[*clientConn]bool{}}
 	c.changed.L = &c.mu
 	return c
 }
 
-func (c *clients) bound(most int) {
+func (c *clients) bound(b ClientBounds) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.max = max(most, 1)
+	c.max, c.maxIdle = max(b.Open, 1), b.Idle
 	c.changed.Broadcast()
 }
 
@@ -116,12 +126,8 @@
 			return "silent", k
 		}
 	}
-	looks = 0
-	for e := c.idle.Front(); e != nil && looks < mostLooks; e = e.Next() {
-		looks++
-		if k = e.Value.(*clientConn); !unread(k.Conn) {
-			return "evicted", k
-		}
+	if k = c.longestIdle(); k != nil {
+		return "evicted", k
 	}
 	for k := range c.open {
 		if k.active && !k.whole && !k.gone && now.Sub(k.since) >= slowness && !unread(k.Conn) {
@@ -131,6 +137,19 @@
 	return "", nil
 }
 
+// longestIdle is the connection idle for the longest that has nothing to be
+// read; nil if there is none. The lock is held.
+func (c *clients) longestIdle() *clientConn {
+	looks := 0
+	for e := c.idle.Front(); e != nil && looks < mostLooks; e = e.Next() {
+		looks++
+		if k := e.Value.(*clientConn); !unread(k.Conn) {
+			return k
+		}
+	}
+	return nil
+}
+
 // end closes connections on which no byte of a request was read. The lock is
 // held, but for the closing itself.
 func (c *clients) end(reason string, some ...*clientConn) {
@@ -247,6 +266,11 @@
 	k.active, k.whole, k.next = k.next, false, false
 	if !k.active && c.open[k] {
 		k.moveTo(&c.idle)
+		if c.idle.Len() > c.maxIdle {
+			if first := c.longestIdle(); first != nil {
+				c.end("evicted", first)
+			}
+		}
 	}
 	c.changed.Broadcast()
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -30,7 +30,9 @@
 const (
 	headTimeout    = 2 * time.Second
 	requestTimeout = 2500 * time.Millisecond // its body included
-	idleTimeout    = 30 * time.Second        // between requests
+	// Between requests. Clients may hold only so many connections to a node, and
+	// some ask once and keep theirs: a longer time leaves the others none.
+	idleTimeout = 2100 * time.Millisecond
 )
 
 // shedRetryAfter is when a client turned away for want of descriptors should come back.
@@ -57,9 +59,9 @@
 	shed    atomic.Int64 // requests turned away for want of descriptors
 }
 
-// NewFront makes a front for at most maxClients client connections on l.
-func NewFront(l net.Listener, names protocol.Names, taker Taker, maxClients int, log *slog.Logger) *Front {
-	f := &Front{names: names, taker: taker, log: log, clients: newClients(l, maxClients, log)}
+// NewFront makes a front on l.
+func NewFront(l net.Listener, names protocol.Names, taker Taker, b ClientBounds, log *slog.Logger) *Front {
+	f := &Front{names: names, taker: taker, log: log, clients: newClients(l, b, log)}
 	f.server = &http.Server{
 		Handler:   f,
 		ConnState: f.clients.state,
@@ -86,7 +88,7 @@
 }
 
 // Bound changes how many client connections there may be.
-func (f *Front) Bound(maxClients int) { f.clients.bound(maxClients) }
+func (f *Front) Bound(b ClientBounds) { f.clients.bound(b) }
 
 // Clients counts the client connections by what they do, as name=value.
 func (f *Front) Clients() string { return f.clients.String() }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -474,7 +474,7 @@
 		t.Fatal(err)
 	}
 	log = make(lines, 1000)
-	front = NewFront(l, protocol.Names{Classes: map[string]int{"book": 0}}, f, most, log.log())
+	front = NewFront(l, protocol.Names{Classes: map[string]int{"book": 0}}, f, ClientBounds{Open: most, Idle: most}, log.log())
 	for _, c := range change {
 		c(front)
 	}
@@ -711,7 +711,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClients(l, 5, slog.New(slog.DiscardHandler))
+	c := newClients(l, ClientBounds{Open: 5, Idle: 5}, slog.New(slog.DiscardHandler))
 	defer c.Close()
 	accept := func() *clientConn {
 		io.WriteString(dial(t, l.Addr().String()), "ab")
@@ -775,7 +775,7 @@
 		t.Fatal(err)
 	}
 	log := make(lines, 100)
-	c := newClients(l, 4, log.log())
+	c := newClients(l, ClientBounds{Open: 4, Idle: 4}, log.log())
 	defer c.Close()
 	var ends []*client
 	accept := func(raw string) *clientConn {
@@ -819,6 +819,20 @@
 	log.until("reason=silent", ends[2].LocalAddr().String())
 }
 
+// TestIdleBound: clients that ask once and keep their connection must not use up
+// what clients may hold to a node.
+func TestIdleBound(t *testing.T) {
+	addr, front, log := newFront(t, 10, nil)
+	front.Bound(ClientBounds{Open: 10, Idle: 2})
+	ready := "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+	first := dial(t, addr)
+	first.ask(t, ready)
+	for range 2 {
+		dial(t, addr).ask(t, ready)
+	}
+	log.until("addr="+first.LocalAddr().String(), "reason=evicted")
+}
+
 // TestSilentWatch: a call that never comes back is asked again at once, once.
 func TestSilentWatch(t *testing.T) {
 	asked := make(chan bool, 10)
