Count overtaken tries as in flight no more; ask a broken discovery call again at once

Causes. learn took each such time-out for a jam (cutLimit, ease, pace), and the stuck try filled its server's limit and the node's window until its deadline, though no server held it. Now a try whose server answered one sent half an aim later leaves both, and a harmless one is sent again. watch.go let discovery hold a call for 10 s, so one that fell silent was missed after 11.5 s; now 2 s + 1 s, and a call that broke is asked again at once, as a silent one was.

Tests: TestOvertaken, TestWatch.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -319,8 +319,7 @@
 	a.out = false
 	r.out--
 	a.never = o.Result == Rejected || o.Result == ConnectFailed || o.Result == Moot
-	a.to.inflight = max(a.to.inflight-1, 0)
-	b.inflight--
+	b.landed(a)
 	b.learn(r, a, o)
 	defer b.admit()
 	if r.line != nil && (o.Result == TimedOut || o.Result == Reset || o.Result == Cancelled) {
@@ -343,6 +342,38 @@
 	}
 }
 
+// landed takes an attempt out of what is in flight, once.
+func (b *Balancer) landed(a *attempt) {
+	if !a.lost {
+		a.lost = true
+		a.to.inflight = max(a.to.inflight-1, 0)
+		b.inflight--
+	}
+}
+
+// overtaken reports whether the server answered well what was sent much later: then a is stuck alone, on a
+// connection that fell silent or with work far above its like, and tells nothing of the server's load.
+func overtaken(r *request, a *attempt) bool { return a.to.newest > a.sent+Time(r.class.Aim/2) }
+
+// sweep finds the attempts that are overtaken. They count as in flight no more, and where a repeat is
+// harmless another is sent. It guards against connections that fall silent, which would fill every limit
+// with requests that no server holds; it costs a second run of what was only slow.
+func (b *Balancer) sweep() {
+	var again []*request
+	for _, r := range b.open {
+		if a := &r.attempts[max(r.n-1, 0)]; !r.done && a.out && !a.lost && overtaken(r, a) {
+			b.landed(a)
+			if r.class.Effect == Pure && !r.class.Stream && r.n == 1 && b.set.Cancel && b.set.TryLimit > 1 {
+				again = append(again, r)
+			}
+		}
+	}
+	slices.SortFunc(again, func(p, q *request) int { return cmp.Compare(p.id, q.id) })
+	for _, r := range again {
+		b.host.Cancel(r.id, 0) // its outcome brings the next attempt
+	}
+}
+
 // giveUp answers a request at once: a refusal where the class lets the client try again, else a failure.
 func (b *Balancer) giveUp(r *request) {
 	harmless := r.class.Effect == Pure || r.class.Effect == Token && r.class.Scope == ScopeAll
@@ -407,6 +438,7 @@
 		return
 	}
 	good, e := o.Result == OK, 1.0
+	slow := o.Result == TimedOut && !overtaken(r, a)
 	if good || o.Result == Errored || o.Result == Rejected {
 		s.heard = b.now
 	}
@@ -416,7 +448,7 @@
 		return
 	}
 	if good {
-		s.served = b.now
+		s.served, s.newest = b.now, max(s.newest, a.sent)
 		s.done += r.cost
 		c, x := r.class, o.Latency.Seconds()/max(aim.Seconds(), 1e-3)
 		c.base = min(c.base+0.001, 0.5)
@@ -428,7 +460,7 @@
 		b.lat += 0.01 * (o.Latency.Seconds() - b.lat)
 	}
 	e = b.own(r, e)
-	if good || o.Result == TimedOut {
+	if good || slow {
 		s.ease += 0.1 * (e - s.ease)
 		b.pace(e, aim)
 	}
@@ -437,7 +469,7 @@
 		s.limit += min(1, 2/s.limit)
 	case good && s.ease > calm:
 		b.cutLimit(s, 1-0.3*min(s.ease-calm, 0.5), aim)
-	case o.Result == TimedOut && e > calm:
+	case slow && e > calm:
 		b.cutLimit(s, 0.7, aim)
 	}
 	if good || o.Result != TimedOut || s.served < a.sent {
@@ -627,6 +659,7 @@
 	}
 	b.host.SetTimer(tickEvery, tickRef)
 	b.watch()
+	b.sweep()
 	b.admit()
 	b.lines = slices.DeleteFunc(b.lines, func(l *line) bool {
 		idle := len(l.in) == 0 && now >= l.rest
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -793,6 +793,39 @@
 	}
 }
 
+// An attempt that much later ones overtook is stuck alone: it fills no limit, its end is no sign of a jam, and a
+// harmless request goes to another server while it can still be served in time.
+func TestOvertaken(t *testing.T) {
+	for class, want := range []int{2, 1} { // Pure, SideEffect
+		g := start(t, base(), 1, fleet(2)...)
+		g.b.retries = 9
+		stuck := g.ask(class, 7)
+		s := g.b.byID[g.open[stuck].shots[0].to]
+		for range 16 {
+			g.now += 50 * ms
+			id := g.ask(class, 7)
+			g.now += 5 * ms
+			g.answer(id, 0, OK)
+		}
+		if s.inflight != 1 {
+			t.Fatalf("class %d: %d in flight", class, s.inflight)
+		}
+		g.b.Wake(g.now, tickRef)
+		if s.inflight != 0 || g.b.inflight != 0 {
+			t.Errorf("class %d: %d in flight of none", class, s.inflight)
+		}
+		if slices.Contains(g.trace, fmt.Sprint("cancel ", stuck, 0)) != (want == 2) {
+			t.Errorf("class %d: not called off", class)
+		}
+		before, median := s.limit, g.b.median
+		g.answer(stuck, 0, map[int]Result{2: Cancelled, 1: TimedOut}[want])
+		if n := len(g.open[stuck].shots); n != want || s.limit != before || g.b.median > median || s.inflight < 0 {
+			t.Errorf("class %d: %d attempts, want %d; limit %v -> %v", class, n, want, before, s.limit)
+		}
+		g.check()
+	}
+}
+
 // Changed settings hold from the next decision on; what was learnt stays, and so do the lists' lengths.
 func TestSet(t *testing.T) {
 	set := base()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -868,12 +868,12 @@
 	<-drained
 }
 
-// TestWatch: each call names the version held; a faulty answer ends the watch
-// and leaves the version, so that nothing is skipped.
+// TestWatch: each call names the version held; a faulty answer is asked for
+// again, once, and leaves the version, so that nothing is skipped.
 func TestWatch(t *testing.T) {
 	asked := make(chan string, 10)
 	answers := []string{`{"version":41,"full":true,"servers":[]}`, `{"version":43,"full":false,"servers":[]}`,
-		`{"version":44,"full":false,"servers":[{"id":""}]}`, "", `{"version":45,"full":false,"servers":[]}`, "cut"}
+		"cut", `{"version":44,"full":false,"servers":[{"id":""}]}`, "", "cut", `{"version":45,"full":false,"servers":[]}`, "", "cut", "cut"}
 	next := 0
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked <- r.RequestURI
@@ -886,7 +886,7 @@
 	defer s.Close()
 	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, -1, slog.New(slog.DiscardHandler))
 	var kinds []brain.ListKind
-	for range 3 { // the malformed list, the 503, what is no JSON
+	for range 4 { // the malformed list, the second in a row; the 503s; what is no JSON, twice
 		if err := w.Watch(t.Context(), func(g routing.Group) { kinds = append(kinds, g.Kind) }); err == nil {
 			t.Error("no error")
 		}
@@ -894,10 +894,10 @@
 	if fmt.Sprint(kinds) != fmt.Sprint([]brain.ListKind{brain.Full, brain.Delta, brain.Delta}) {
 		t.Errorf("told %v", kinds)
 	}
-	for _, version := range []string{"", "41", "43", "43", "43", "45"} {
+	for _, version := range []string{"", "41", "43", "43", "43", "43", "43", "45", "45", "45"} {
 		want := "/registry/instances"
 		if version != "" {
-			want += "?after=" + version + "&wait_ms=10000"
+			want += "?after=" + version + "&wait_ms=2000"
 		}
 		if got := <-asked; got != want {
 			t.Errorf("asked %s, want %s", got, want)
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"olivebridge/internal/protocol"
@@ -19,9 +20,9 @@
 const (
 	// watchWait is how long discovery may hold a call. What it tells a machine
 	// that hears nothing counts as told 2 s after that, so it stays short.
-	watchWait = 10 * time.Second
+	watchWait = 2 * time.Second
 	// watchSlack is how much later an answer may come.
-	watchSlack = 1500 * time.Millisecond
+	watchSlack = time.Second
 	// maxList bounds a list's bytes.
 	maxList = 8 << 20
 )
@@ -56,21 +57,25 @@
 	}}
 }
 
+// errRefused is an answer of discovery's that it made on purpose.
+var errRefused = errors.New("refused")
+
 // Watch implements routing.Watcher: each call follows the last answer at once.
-// A call that never came back is asked again at once, on a new connection, for
-// what it should have told counts as told; any other failure ends the watch.
+// A call that never came back, or broke, is asked again at once, on a new
+// connection, for what it should have told counts as told; a second such, or
+// one that discovery refused, ends the watch.
 func (w *Watch) Watch(ctx context.Context, told func(routing.Group)) error {
-	silent := false
+	again := false
 	for {
 		g, version, err := w.call(ctx)
-		if errors.Is(err, context.DeadlineExceeded) && !silent {
-			silent = true
+		if err != nil && !again && ctx.Err() == nil && !errors.Is(err, errRefused) && !errors.Is(err, syscall.ECONNREFUSED) {
+			again = true
 			continue
 		}
 		if err != nil {
 			return err
 		}
-		silent = false
+		again = false
 		w.version = version
 		told(g)
 	}
@@ -99,7 +104,7 @@
 	case err != nil:
 		return g, 0, fmt.Errorf("upstream group: %w", err)
 	case resp.StatusCode != http.StatusOK:
-		return g, 0, fmt.Errorf("upstream group: status %d", resp.StatusCode)
+		return g, 0, fmt.Errorf("upstream group: %w: status %d", errRefused, resp.StatusCode)
 	}
 	g, version, err = w.names.ParseGroup(data)
 	g.At = time.Now()
