--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -23,6 +23,8 @@
 	watchWait = 2 * time.Second
 	// watchSlack is how much later an answer may come.
 	watchSlack = time.Second
+	// watchAgain is how many calls in a row may break before the watch ends.
+	watchAgain = 3
 	// maxList bounds a list's bytes.
 	maxList = 8 << 20
 )
@@ -35,6 +37,7 @@
 	version int64 // of the list held; -1: none
 	wait    time.Duration
 	slack   time.Duration
+	again   int // calls in a row that may break
 }
 
 // NewWatch makes a watch that goes on from a known version, or from none if
@@ -48,7 +51,7 @@
 		}
 		return &peerConn{Conn: conn, life: newLife(log, "discovery", addr, func() {})}, nil
 	}
-	return &Watch{addr: addr, names: names, version: version, wait: watchWait, slack: watchSlack, client: &http.Client{
+	return &Watch{addr: addr, names: names, version: version, wait: watchWait, slack: watchSlack, again: watchAgain, client: &http.Client{
 		Transport: &http.Transport{
 			DialContext:        dial,
 			DisableCompression: true,
@@ -62,20 +65,20 @@
 
 // Watch implements routing.Watcher: each call follows the last answer at once.
 // A call that never came back, or broke, is asked again at once, on a new
-// connection, for what it should have told counts as told; a second such, or
-// one that discovery refused, ends the watch.
+// connection, for what it should have told counts as told; one broken call too many in a
+// row, or one that discovery refused, ends the watch.
 func (w *Watch) Watch(ctx context.Context, told func(routing.Group)) error {
-	again := false
+	broken := 0
 	for {
 		g, version, err := w.call(ctx)
-		if err != nil && !again && ctx.Err() == nil && !errors.Is(err, errRefused) && !errors.Is(err, syscall.ECONNREFUSED) {
-			again = true
+		if err != nil && broken < w.again && ctx.Err() == nil && !errors.Is(err, errRefused) && !errors.Is(err, syscall.ECONNREFUSED) {
+			broken++
 			continue
 		}
 		if err != nil {
 			return err
 		}
-		again = false
+		broken = 0
 		w.version = version
 		told(g)
 	}
