--- /dev/null
+++ b/internal/lab/fact/fact.go
@@ -0,0 +1,30 @@
+// Package fact is how the world tells whoever judges a run what no byte on the
+// network shows.
+package fact
+
+import "time"
+
+// Witness hears facts, on the loop.
+type Witness interface {
+	// PeerStarted: the process of a peer started at its address; cold is false
+	// for those that were warm when the run began.
+	PeerStarted(peer, addr string, cold bool)
+	// PeerStopped: it ended, or was killed.
+	PeerStopped(peer string)
+	// PeerWork: an attempt came whole to a peer, turned away or not. work is what
+	// it costs there, capacity what the peer can do at this moment; in seconds of
+	// a core of speed 1, and in such seconds a second.
+	PeerWork(peer, call string, work, capacity float64)
+	// Listed: discovery knows of a change from now on, under a version. state is
+	// Ready, Terminating or Gone; started is the peer's last start, since the
+	// run began, 0 for long ago.
+	Listed(version int64, peer, addr, state string, started time.Duration)
+	// Bad: what the client sends on a connection from here on must not be served,
+	// for the reason; it is owed an error or a close within the time.
+	Bad(conn, why string, within time.Duration)
+	// NodeStarted, NodeKilled, NodeTold: a node's life. NodeTold says that a
+	// signal reached it: SIGTERM, or SIGHUP with where discovery is from then on.
+	NodeStarted(node string, version int64)
+	NodeKilled(node string)
+	NodeTold(node, signal, discovery string)
+}
