--- /dev/null
+++ b/internal/lab/plant/plant_test.go
@@ -0,0 +1,76 @@
+package plant
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Each plant must still apply to the sources as they are, and make a tree that compiles:
+// one that does neither finds nothing.
+func TestPlantsApply(t *testing.T) {
+	all, err := All()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(all) < 16 {
+		t.Errorf("%d plants", len(all))
+	}
+	root, err := Root()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range all {
+		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
+			if err := p.Build(root, t.TempDir(), p.Package(), ""); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func TestOverlayNeedsItsPlace(t *testing.T) {
+	root := t.TempDir()
+	if err := os.WriteFile(filepath.Join(root, "a.go"), []byte("x = 1\nx = 1\ny = 2\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for old, want := range map[string]string{
+		"x = 1": "plant p: old: stands 2 times in a.go, not once",
+		"z":     "plant p: old: stands 0 times in a.go, not once",
+		"y = 2": "",
+	} {
+		p := Plant{Name: "p", File: "a.go", Old: old, New: "w"}
+		_, err := p.Overlay(root, t.TempDir())
+		if got := ""; err != nil {
+			if got = err.Error(); got != want {
+				t.Errorf("%q: %s", old, got)
+			}
+		} else if want != "" {
+			t.Errorf("%q: no error", old)
+		}
+	}
+}
+
+func TestParse(t *testing.T) {
+	const whole = "[[plant]]\nname = 'a'\nbreaks = 'b'\nrules = ['lost']\nfile = 'f.go'\nold = 'x'\nnew = 'y'\n"
+	for _, c := range []struct{ text, want string }{
+		{whole, ""},
+		{whole + whole, "f: plant a: the name stands twice"},
+		{strings.Replace(whole, "'a'", "'a b'", 1), "f: plant 1: name: missing"},
+		{strings.Replace(whole, "'y'", "'x'", 1), "f: plant a: breaks, rules, file, old or new"},
+		{strings.Replace(whole, "'f.go'", "'../f.go'", 1), "f: plant a: breaks, rules, file, old or new"},
+		{whole + "newer = 1\n", "f:8: plant.newer: unknown key"},
+		{whole + "[", "f:8: "},
+	} {
+		_, err := parse("f", []byte(c.text))
+		if got := ""; err != nil {
+			if got = err.Error(); c.want == "" || !strings.HasPrefix(got, c.want) || strings.Contains(got, "\n") {
+				t.Errorf("%q: %s", c.text, got)
+			}
+		} else if c.want != "" {
+			t.Errorf("%q: no error", c.text)
+		}
+	}
+}
