Add olivelab: seeds, replay, shrink, faults and plants from the command line

Scripts rely on these calls: the last line of seeds is 'M passed, K failed', that of replay the trace's hash, exit 1 says that a rule was broken and exit 2 that nothing was run. All bad usage is one line on standard error.

--- /dev/null
+++ b/cmd/olivelab/common.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"olivebridge/internal/lab/campaign"
+	"olivebridge/internal/lab/fault"
+)
+
+// span is a range of seeds.
+type span struct{ from, count uint64 }
+
+func (r *span) flags(c *cobra.Command) {
+	c.Flags().Uint64Var(&r.from, "from", 1, "the first seed")
+	c.Flags().Uint64Var(&r.count, "count", 100, "how many seeds")
+}
+
+func (r *span) check() error {
+	if r.count == 0 {
+		return errors.New("--count: at least 1")
+	}
+	if r.from+r.count-1 < r.from {
+		return fmt.Errorf("--from %d --count %d: beyond the last seed", r.from, r.count)
+	}
+	return nil
+}
+
+// workers are the flags of commands that play runs.
+type workers struct {
+	procs    int
+	scenario string
+}
+
+func (w *workers) flags(c *cobra.Command) {
+	c.Flags().IntVar(&w.procs, "procs", 0, "worker processes; 0: one a core")
+	c.Flags().StringVar(&w.scenario, "scenario", "", "the scenario `file` that seeds draw from; by default one is built in")
+}
+
+func (w *workers) check(s campaign.Sources) (campaign.Draw, error) {
+	if w.procs < 0 {
+		return nil, fmt.Errorf("--procs %d: below 0", w.procs)
+	}
+	return s.Scenario(w.scenario)
+}
+
+// again is the call that plays a seed again.
+func (w *workers) again(seed uint64) string {
+	call := "olivelab replay " + strconv.FormatUint(seed, 10)
+	if w.scenario != "" {
+		call += " --scenario " + w.scenario
+	}
+	return call
+}
+
+// target is the one run that a command is about: a seed, or a script.
+type target struct {
+	script   string
+	scenario string
+}
+
+func (t *target) flags(c *cobra.Command) {
+	c.Flags().StringVar(&t.script, "script", "", "the script `file` to play instead of a seed")
+	c.Flags().StringVar(&t.scenario, "scenario", "", "the scenario `file` that the seed draws from")
+}
+
+// read reads the script, or draws the seed's.
+func (t *target) read(s campaign.Sources, args []string) (*fault.Script, error) {
+	switch {
+	case (len(args) == 1) == (t.script != ""):
+		return nil, errors.New("wanted: a SEED, or --script FILE")
+	case t.script != "" && t.scenario != "":
+		return nil, errors.New("--scenario: only with a SEED")
+	case t.script != "":
+		text, err := os.ReadFile(t.script)
+		if err != nil {
+			return nil, unreadable(err)
+		}
+		return s.Parse(t.script, text)
+	}
+	seed, err := strconv.ParseUint(args[0], 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("SEED: not a number from 0 on: %q", args[0])
+	}
+	draw, err := s.Scenario(t.scenario)
+	if err != nil {
+		return nil, err
+	}
+	return draw(seed), nil
+}
+
+// job is the run of a script.
+func job(s campaign.Sources, script *fault.Script) (campaign.Job, error) {
+	var text strings.Builder
+	if err := s.Write(script, &text); err != nil {
+		return campaign.Job{}, fmt.Errorf("writing the script: %w", err)
+	}
+	return campaign.Job{Seed: script.Seed, Script: text.String()}, nil
+}
+
+// unreadable says what file cannot be read or written, and why.
+func unreadable(err error) error {
+	if e, ok := errors.AsType[*os.PathError](err); ok {
+		return fmt.Errorf("%s: %w", e.Path, e.Err)
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/olivelab/plants.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"olivebridge/internal/lab/campaign"
+	"olivebridge/internal/lab/plant"
+)
+
+// tool is this program's package.
+const tool = "./cmd/olivelab"
+
+func plantsCommand(s campaign.Sources) *cobra.Command {
+	var with workers
+	var seeds uint64
+	var only, file string
+	c := &cobra.Command{
+		Use:   "plants",
+		Short: "looks for planted faults, to show that the lab can fail",
+		Long: "Builds the program with one planted fault after another, and plays seeds from 1 on until one breaks a rule " +
+			"that is to show it, and does not without it. Run in the source tree, with go. Exit 1 if one is not found.",
+		Args: cobra.NoArgs,
+	}
+	with.flags(c)
+	c.Flags().Uint64Var(&seeds, "seeds", 200, "how many seeds a plant is looked for in")
+	c.Flags().StringVar(&only, "only", "", "the `name` of the one plant to look for")
+	c.Flags().StringVar(&file, "json", "", "where the table goes as JSON")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if seeds == 0 {
+			return errors.New("--seeds: at least 1")
+		}
+		if _, err := with.check(s); err != nil {
+			return err
+		}
+		some, err := chosen(s, only)
+		if err != nil {
+			return err
+		}
+		out, err := create(file)
+		if err != nil {
+			return err
+		}
+		defer out.drop()
+		finds, err := hunt(c, with, seeds, some)
+		if err != nil {
+			return err
+		}
+		if err := out.write(func(w io.Writer) error { return json.NewEncoder(w).Encode(finds) }); err != nil {
+			return err
+		}
+		found := 0
+		for _, f := range finds {
+			if f.Rule != "" {
+				found++
+			}
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%d of %d planted faults found\n", found, len(finds))
+		if found < len(finds) {
+			return errFailed
+		}
+		return nil
+	}
+	return c
+}
+
+// chosen are the plants to look for. A rule that does not exist would never show one.
+func chosen(s campaign.Sources, only string) ([]plant.Plant, error) {
+	all, err := plant.All()
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range all {
+		for _, r := range p.Rules {
+			if len(s.Rules) > 0 && !slices.Contains(s.Rules, r) {
+				return nil, fmt.Errorf("plant %s: there is no rule named %q", p.Name, r)
+			}
+		}
+	}
+	if only == "" {
+		return all, nil
+	}
+	i := slices.IndexFunc(all, func(p plant.Plant) bool { return p.Name == only })
+	if i < 0 {
+		return nil, fmt.Errorf("--only: there is no plant named %q", only)
+	}
+	return all[i : i+1], nil
+}
+
+// hunt looks for the plants one by one and writes a line of the table for each.
+func hunt(c *cobra.Command, with workers, seeds uint64, some []plant.Plant) ([]campaign.Find, error) {
+	root, err := plant.Root()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "olivelab-plants")
+	if err != nil {
+		return nil, fmt.Errorf("a place for what is built: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	hunter := &campaign.Hunter{
+		Root: root, Dir: dir, Tool: tool, Seeds: seeds, Scenario: with.scenario,
+		Pool: campaign.Pool{Procs: with.procs},
+	}
+	sound := &campaign.Pool{Procs: 1}
+	var finds []campaign.Find
+	fmt.Fprintf(c.OutOrStdout(), "%-34s %-14s %6s %8s  %s\n", "plant", "rule", "seeds", "seconds", "expected; others met")
+	for _, p := range some {
+		fmt.Fprintf(c.ErrOrStderr(), "building and playing: %s\n", p.Name)
+		f, err := hunter.Hunt(c.Context(), p, sound)
+		if err != nil {
+			return nil, err
+		}
+		finds = append(finds, f)
+		fmt.Fprintln(c.OutOrStdout(), findLine(f))
+		os.Remove(filepath.Join(dir, p.Name)) // programs are large
+	}
+	return finds, nil
+}
+
+func findLine(f campaign.Find) string {
+	rule, seeds := f.Rule, fmt.Sprint(f.Seed)
+	if rule == "" {
+		rule, seeds = "NOT FOUND", "-"
+	}
+	notes := strings.Join(f.Expected, ", ")
+	if len(f.Others) > 0 {
+		notes += "; " + strings.Join(f.Others, ", ")
+	}
+	return fmt.Sprintf("%-34s %-14s %6s %8.1f  %s", f.Name, rule, seeds, f.Real.Round(time.Second/10).Seconds(), notes)
+}
--- /dev/null
+++ b/cmd/olivelab/seeds.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"olivebridge/internal/lab/campaign"
+)
+
+// tellEach is how often the progress is told.
+const tellEach = 2 * time.Second
+
+func seedsCommand(s campaign.Sources) *cobra.Command {
+	var seeds span
+	var with workers
+	var file string
+	c := &cobra.Command{
+		Use:   "seeds --from N --count M",
+		Short: "plays a range of seeds",
+		Long: "Plays a range of seeds. Each that breaks a rule leaves a line on standard output; the last line is " +
+			"`M passed, K failed`. Exit 1 if any failed.",
+		Args: cobra.NoArgs,
+	}
+	seeds.flags(c)
+	with.flags(c)
+	c.Flags().StringVar(&file, "json", "", "where all results go, with totals")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if err := seeds.check(); err != nil {
+			return err
+		}
+		if _, err := with.check(s); err != nil {
+			return err
+		}
+		sink, err := create(file)
+		if err != nil {
+			return err
+		}
+		defer sink.drop()
+		report := campaign.NewReport()
+		pool := &campaign.Pool{Procs: with.procs}
+		told := time.Now()
+		err = pool.Run(c.Context(), campaign.Seeds(seeds.from, seeds.count, with.scenario), func(o campaign.Outcome) bool {
+			report.Add(o)
+			if o.Failed() {
+				fmt.Fprintln(c.OutOrStdout(), campaign.FailureLine(&o, with.again(o.Job.Seed)))
+			}
+			if time.Since(told) >= tellEach || uint64(report.Seeds) == seeds.count {
+				told = time.Now()
+				fmt.Fprintln(c.ErrOrStderr(), report.Progress(seeds.count))
+			}
+			return true
+		})
+		if err != nil {
+			return err
+		}
+		if err := sink.write(report.WriteJSON); err != nil {
+			return err
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%d passed, %d failed\n", report.Passed, report.Failed)
+		if report.Failed > 0 {
+			return errFailed
+		}
+		return nil
+	}
+	return c
+}
