--- a/cmd/olivelab/common.go
+++ b/cmd/olivelab/common.go
@@ -31,6 +31,10 @@
 	return nil
 }
 
+func scenarioFlag(c *cobra.Command, file *string) {
+	c.Flags().StringVar(file, "scenario", "", "the scenario `file` that seeds draw from; \"\": the built-in one")
+}
+
 // workers are the flags of commands that play runs.
 type workers struct {
 	procs    int
@@ -39,7 +43,7 @@
 
 func (w *workers) flags(c *cobra.Command) {
 	c.Flags().IntVar(&w.procs, "procs", 0, "worker processes; 0: one a core")
-	c.Flags().StringVar(&w.scenario, "scenario", "", "the scenario `file` that seeds draw from; by default one is built in")
+	scenarioFlag(c, &w.scenario)
 }
 
 func (w *workers) check(s campaign.Sources) (campaign.Draw, error) {
@@ -66,7 +70,7 @@
 
 func (t *target) flags(c *cobra.Command) {
 	c.Flags().StringVar(&t.script, "script", "", "the script `file` to play instead of a seed")
-	c.Flags().StringVar(&t.scenario, "scenario", "", "the scenario `file` that the seed draws from")
+	scenarioFlag(c, &t.scenario)
 }
 
 // read reads the script, or draws the seed's.
--- a/cmd/olivelab/faults.go
+++ b/cmd/olivelab/faults.go
@@ -12,12 +12,12 @@
 	c := &cobra.Command{
 		Use:   "faults --from N --count M",
 		Short: "shows which faults the seeds of a range combine",
-		Long: "Draws the scripts of a range of seeds, plays none, and shows in how many of them each two kinds of fault " +
-			"were at work at one time; below stands what was never met.",
+		Long: "Draws the scripts of a range of seeds, plays none, and shows in how many of them each two kinds " +
+			"of fault were at work at one time; below stands what was never met.",
 		Args: cobra.NoArgs,
 	}
 	seeds.flags(c)
-	c.Flags().StringVar(&scenario, "scenario", "", "the scenario `file` that seeds draw from; by default one is built in")
+	scenarioFlag(c, &scenario)
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if err := seeds.check(); err != nil {
 			return err
--- a/cmd/olivelab/main.go
+++ b/cmd/olivelab/main.go
@@ -43,8 +43,8 @@
 		SilenceErrors:     true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 		Args:              cobra.NoArgs,
-		RunE:              func(c *cobra.Command, _ []string) error { return errors.New("which command? see --help") },
 	}
+	root.RunE = func(*cobra.Command, []string) error { return errors.New("which command? see --help") }
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
--- a/cmd/olivelab/main_test.go
+++ b/cmd/olivelab/main_test.go
@@ -57,9 +57,11 @@
 		{"replay 1 --log", 0, hash, `^log of dull\n$`},
 		{"replay --script good.toml", 0, hash, `^$`},
 		{"replay --script dead.toml", 1, `^1.000000000 panics\n$`, `(?s)panic: a wrong turn.*\ncrash at `},
-		{"shrink 10 --procs 4", 0, `^# seed 10, shrunk by 5 cuts: lost at 1.000000s: a call was lost\n`, `left: 1s, 1 faults`},
+		{"shrink 10 --procs 4", 0, `^# seed 10, shrunk by 5 cuts: lost at 1.000000s: a call was lost\n`,
+			`left: 1s, 1 faults`},
 		{"shrink 1", 2, `^$`, `^olivelab: nothing to shrink: the run breaks no rule\n$`},
-		{"faults --from 1 --count 10", 0, `10 scripts, 2 kinds, 1 of 3 pairs met(?s:.*)never drawn: never`, `^$`},
+		{"faults --from 1 --count 10", 0, `10 scripts, 2 kinds, 1 of 3 pairs met\n(?s:.*)never drawn: never`,
+			`^$`},
 
 		{"", 2, `^$`, `^olivelab: which command\? see --help\n$`},
 		{"sends", 2, `^$`, `^olivelab: unknown command "sends"`},
@@ -81,7 +83,8 @@
 		{"plants --seeds 0", 2, `^$`, `^olivelab: --seeds: at least 1\n$`},
 	} {
 		code, out, errs := call(t, strings.Fields(c.args)...)
-		if code != c.code || !regexp.MustCompile(c.out).MatchString(out) || !regexp.MustCompile(c.errs).MatchString(errs) {
+		said := regexp.MustCompile(c.out).MatchString(out) && regexp.MustCompile(c.errs).MatchString(errs)
+		if code != c.code || !said {
 			t.Errorf("olivelab %s: exit %d, want %d\nout: %s\nerr: %s", c.args, code, c.code, out, errs)
 		}
 	}
@@ -103,7 +106,8 @@
 	if code, out, errs := call(t, "shrink", "5", "--out", "s.toml"); code != 0 || out != "" {
 		t.Error(code, out, errs)
 	}
-	if code, _, errs := call(t, "replay", "--script", "s.toml"); code != 1 || !strings.HasPrefix(errs, "lost at 1.0") {
+	code, _, errs := call(t, "replay", "--script", "s.toml")
+	if code != 1 || !strings.HasPrefix(errs, "lost at 1.0") {
 		t.Error(code, errs)
 	}
 	if code, _, _ := call(t, "shrink", "1", "--out", "none.toml"); code != 2 {
--- a/cmd/olivelab/plants.go
+++ b/cmd/olivelab/plants.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -27,8 +26,9 @@
 	c := &cobra.Command{
 		Use:   "plants",
 		Short: "looks for planted faults, to show that the lab can fail",
-		Long: "Builds the program with one planted fault after another, and plays seeds from 1 on until one breaks a rule " +
-			"that is to show it, and does not without it. Run in the source tree, with go. Exit 1 if one is not found.",
+		Long: "Builds the program with one planted fault after another, and plays seeds from 1 on until one breaks " +
+			"a rule that is to show it, and does not without it. Run in the source tree, with go. " +
+			"Exit 1 if one is not found.",
 		Args: cobra.NoArgs,
 	}
 	with.flags(c)
@@ -113,7 +113,7 @@
 	}
 	sound := &campaign.Pool{Procs: 1}
 	var finds []campaign.Find
-	fmt.Fprintf(c.OutOrStdout(), "%-34s %-14s %6s %8s  %s\n", "plant", "rule", "seeds", "seconds", "expected; others met")
+	fmt.Fprintf(c.OutOrStdout(), line+"\n", "plant", "rule", "seeds", "seconds", "expected; others met")
 	for _, p := range some {
 		fmt.Fprintf(c.ErrOrStderr(), "building and playing: %s\n", p.Name)
 		f, err := hunter.Hunt(c.Context(), p, sound)
@@ -127,6 +127,9 @@
 	return finds, nil
 }
 
+// line is the form of the table's.
+const line = "%-34s %-14s %6s %8s  %s"
+
 func findLine(f campaign.Find) string {
 	rule, seeds := f.Rule, fmt.Sprint(f.Seed)
 	if rule == "" {
@@ -136,5 +139,5 @@
 	if len(f.Others) > 0 {
 		notes += "; " + strings.Join(f.Others, ", ")
 	}
-	return fmt.Sprintf("%-34s %-14s %6s %8.1f  %s", f.Name, rule, seeds, f.Real.Round(time.Second/10).Seconds(), notes)
+	return fmt.Sprintf(line, f.Name, rule, seeds, fmt.Sprintf("%.1f", f.Real.Seconds()), notes)
 }
--- a/cmd/olivelab/replay.go
+++ b/cmd/olivelab/replay.go
@@ -17,8 +17,8 @@
 	c := &cobra.Command{
 		Use:   "replay SEED | --script FILE",
 		Short: "plays one run and writes its trace",
-		Long: "Plays one run and writes its trace, one line an event; the last line is `trace sha256 HEX`, the same each " +
-			"time. Broken rules go to standard error, one line each. Exit 1 if there are any.",
+		Long: "Plays one run and writes its trace, one line an event; the last line is `trace sha256 HEX`, the same " +
+			"each time. Broken rules go to standard error, one line each. Exit 1 if there are any.",
 		Args: cobra.MaximumNArgs(1),
 	}
 	what.flags(c)
--- a/cmd/olivelab/seeds.go
+++ b/cmd/olivelab/seeds.go
@@ -19,8 +19,8 @@
 	c := &cobra.Command{
 		Use:   "seeds --from N --count M",
 		Short: "plays a range of seeds",
-		Long: "Plays a range of seeds. Each that breaks a rule leaves a line on standard output; the last line is " +
-			"`M passed, K failed`. Exit 1 if any failed.",
+		Long: "Plays a range of seeds. Each that breaks a rule leaves a line on standard output; the last line " +
+			"is `M passed, K failed`. Exit 1 if any failed.",
 		Args: cobra.NoArgs,
 	}
 	seeds.flags(c)
@@ -41,7 +41,8 @@
 		report := campaign.NewReport()
 		pool := &campaign.Pool{Procs: with.procs}
 		told := time.Now()
-		err = pool.Run(c.Context(), campaign.Seeds(seeds.from, seeds.count, with.scenario), func(o campaign.Outcome) bool {
+		jobs := campaign.Seeds(seeds.from, seeds.count, with.scenario)
+		err = pool.Run(c.Context(), jobs, func(o campaign.Outcome) bool {
 			report.Add(o)
 			if o.Failed() {
 				fmt.Fprintln(c.OutOrStdout(), campaign.FailureLine(&o, with.again(o.Job.Seed)))
--- a/cmd/olivelab/shrink.go
+++ b/cmd/olivelab/shrink.go
@@ -18,8 +18,8 @@
 	c := &cobra.Command{
 		Use:   "shrink SEED | --script FILE",
 		Short: "makes the smallest script that still fails",
-		Long: "Takes faults, clients, peers, nodes and time away as long as the same rule is still broken, and writes " +
-			"the smallest script. The outcome does not hang on the number of workers.",
+		Long: "Takes faults, clients, peers, nodes and time away as long as the same rule is still broken, and " +
+			"writes the smallest script. The outcome does not hang on the number of workers.",
 		Args: cobra.MaximumNArgs(1),
 	}
 	what.flags(c)
@@ -43,12 +43,13 @@
 		}
 		defer out.drop()
 		told := time.Now()
-		shrinker := campaign.Shrinker{Sources: s, Rule: rule, Pool: &campaign.Pool{Procs: procs}, Tell: func(n campaign.Step) {
+		shrinker := campaign.Shrinker{Sources: s, Rule: rule, Pool: &campaign.Pool{Procs: procs}}
+		shrinker.Tell = func(n campaign.Step) {
 			if time.Since(told) >= tellEach {
 				told = time.Now()
 				fmt.Fprintln(c.ErrOrStderr(), stepLine(n))
 			}
-		}}
+		}
 		found, failed := shrinker.Shrink(c.Context(), script)
 		if found == nil {
 			return failed
@@ -74,6 +75,7 @@
 // stepLine is how far a shrinking has come.
 func stepLine(n campaign.Step) string {
 	w := &n.Script.World
-	return fmt.Sprintf("%s: %d runs, %d cuts; left: %v, %d faults, %d nodes, %d peers, %d clients, %d rogues", n.Rule,
-		n.Runs, n.Taken, n.Script.Length.D(), len(n.Script.Faults), len(w.Nodes), len(w.Peers), len(w.Clients), len(w.Rogues))
+	return fmt.Sprintf("%s: %d runs, %d cuts; left: %v, %d faults, %d nodes, %d peers, %d clients, %d rogues",
+		n.Rule, n.Runs, n.Taken, n.Script.Length.D(), len(n.Script.Faults), len(w.Nodes), len(w.Peers),
+		len(w.Clients), len(w.Rogues))
 }
--- a/internal/lab/campaign/campaigntest/sources.go
+++ b/internal/lab/campaign/campaigntest/sources.go
@@ -26,7 +26,7 @@
 // "breaks", which breaks the rule lost.
 func Sources() campaign.Sources {
 	return campaign.Sources{
-		Play:   func(t *testing.T, s *fault.Script, w io.Writer) stage.Result { return play(t, s, w, io.Discard) },
+		Play:   logged(io.Discard),
 		Logged: logged,
 		Scenario: func(path string) (campaign.Draw, error) {
 			if path != "" {
--- a/internal/lab/campaign/process.go
+++ b/internal/lab/campaign/process.go
@@ -38,7 +38,8 @@
 	}
 	w = &process{cmd: exec.Command(command[0], command[1:]...), replies: make(chan reply), said: &lastWords{}}
 	w.cmd.Env = append(os.Environ(), "GOMAXPROCS="+p.cores())
-	w.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // an interrupt at the terminal is the parent's matter
+	// An interrupt at the terminal is the parent's matter.
+	w.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	w.cmd.WaitDelay = lastBreath
 	w.cmd.Stdout, w.cmd.Stderr = w.said, w.said
 	if p.Log != nil {
--- a/internal/lab/campaign/shrink.go
+++ b/internal/lab/campaign/shrink.go
@@ -85,7 +85,8 @@
 		}
 	}
 	taken := 0
-	var over []string // those begun after the one that is taken may or may not have ended: they count as not tried
+	// Those begun after the one that is taken may have ended or not, by luck: they count as not tried.
+	var over []string
 	err = s.Pool.Run(ctx, jobs, func(o Outcome) bool {
 		over = append(over, digestOf(o.Job.Script))
 		b.Steps.Runs++
--- a/internal/lab/campaign/worker.go
+++ b/internal/lab/campaign/worker.go
@@ -32,14 +32,16 @@
 // standard library keeps for programs that bring their own tests.
 func Work(s Sources) {
 	testing.Init()
-	if err := flag.CommandLine.Parse([]string{"-test.timeout=0"}); err != nil { // the real line is not for testing
+	// The real line is not for package testing.
+	if err := flag.CommandLine.Parse([]string{"-test.timeout=0"}); err != nil {
 		fmt.Fprintln(os.Stderr, "worker:", err)
 		os.Exit(2)
 	}
 	all := func(string, string) (bool, error) { return true, nil }
 	go writeGoroutines()
 	life := func(t *testing.T) {
-		w := worker{sources: s, scenarios: map[string]Draw{}, out: json.NewEncoder(os.NewFile(replyFile, "replies"))}
+		replies := os.NewFile(replyFile, "replies")
+		w := worker{sources: s, scenarios: map[string]Draw{}, out: json.NewEncoder(replies)}
 		w.live(t, os.Stdin)
 	}
 	testing.Main(all, []testing.InternalTest{{Name: "lab", F: life}}, nil, nil)
--- a/internal/lab/plant/plant.go
+++ b/internal/lab/plant/plant.go
@@ -45,7 +45,7 @@
 	for i, p := range in.Plants {
 		switch {
 		case p.Name == "" || strings.ContainsAny(p.Name, "/\\ "):
-			return nil, fmt.Errorf("%s: plant %d: name: missing, or with a slash or a space: %q", name, i+1, p.Name)
+			return nil, fmt.Errorf("%s: plant %d: name: missing, or with a slash or space: %q", name, i+1, p.Name)
 		case seen[p.Name]:
 			return nil, fmt.Errorf("%s: plant %s: the name stands twice", name, p.Name)
 		case p.Breaks == "" || len(p.Rules) == 0 || !filepath.IsLocal(p.File) || p.Old == "" || p.Old == p.New:
@@ -78,7 +78,7 @@
 	out, err := exec.Command("go", "list", "-m", "-f", "{{.Path}} {{.Dir}}").Output()
 	path, dir, ok := strings.Cut(strings.TrimSpace(string(out)), " ")
 	if err != nil || !ok || path != module {
-		return "", fmt.Errorf("planted faults are built from the sources: run in the tree of module %s, with go", module)
+		return "", fmt.Errorf("planted faults are built from sources: run in the tree of %s, with go", module)
 	}
 	return dir, nil
 }
