--- a/internal/lab/campaign/campaign_test.go
+++ b/internal/lab/campaign/campaign_test.go
@@ -207,11 +207,11 @@
 		t.Fatal(err)
 	}
 	const want = `2 scripts, 3 kinds, 1 of 6 pairs met
-              1     2     3     4
-cut     1     1     1     .     .
-death   2     1     1     .     .
-move    3     .     .     .     .
-slow    4     .     .     .     1
+          1 2 3 4
+cut     1 1 1 . .
+death   2 1 1 . .
+move    3 . . . .
+slow    4 . . . 1
 never drawn: move
 never at one time with cut: slow
 never at one time with death: slow
--- /dev/null
+++ b/internal/lab/campaign/hunt_test.go
@@ -0,0 +1,82 @@
+package campaign_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"olivebridge/internal/lab/campaign"
+	"olivebridge/internal/lab/plant"
+)
+
+// toyTool is a worker whose plant breaks the rule effect from seed 3 on, and late at 2; it
+// breaks the rule lost at seed 4 in any case.
+const toyTool = `package main
+
+import (
+	"encoding/json"
+	"os"
+)
+
+const planted = false
+
+func main() {
+	in, out := json.NewDecoder(os.Stdin), json.NewEncoder(os.NewFile(3, "replies"))
+	for {
+		var j struct{ ID, Seed int }
+		if in.Decode(&j) != nil {
+			return
+		}
+		var broken []map[string]any
+		add := func(rule string) { broken = append(broken, map[string]any{"rule": rule, "what": "x"}) }
+		if planted && j.Seed == 2 {
+			add("late")
+		}
+		if planted && j.Seed >= 3 {
+			add("effect")
+		}
+		if j.Seed == 4 {
+			add("lost")
+		}
+		out.Encode(map[string]any{"id": j.ID, "result": map[string]any{"seed": j.Seed, "violations": broken}})
+	}
+}
+`
+
+// A plant counts as found by a rule that is to show it, at a seed where the sound build does
+// not break the same rule.
+func TestHunt(t *testing.T) {
+	root, dir := t.TempDir(), t.TempDir()
+	for name, text := range map[string]string{"go.mod": "module toy\n\ngo 1.26\n", "main.go": toyTool} {
+		if err := os.WriteFile(filepath.Join(root, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	build := exec.Command("go", "build", "-o", filepath.Join(dir, "sound"), ".")
+	build.Dir = root
+	if said, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, said)
+	}
+	sound := &campaign.Pool{Command: []string{filepath.Join(dir, "sound")}}
+	h := campaign.Hunter{Root: root, Dir: dir, Tool: ".", Seeds: 6, Pool: campaign.Pool{Procs: 2}}
+	for _, c := range []struct {
+		expected []string
+		rule     string
+		seed     uint64
+		others   []string
+	}{
+		{[]string{"effect"}, "effect", 3, []string{"late"}},
+		{[]string{"lost"}, "", 0, []string{"late", "effect"}},
+	} {
+		p := plant.Plant{Name: "p", Rules: c.expected, File: "main.go", Old: "planted = false", New: "planted = true"}
+		f, err := h.Hunt(t.Context(), p, sound)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.Rule != c.rule || f.Seed != c.seed || !slices.Equal(f.Others, c.others) {
+			t.Errorf("expected %v: %+v", c.expected, f)
+		}
+	}
+}
