--- /dev/null
+++ b/internal/lab/network/faults_test.go
@@ -0,0 +1,189 @@
+package network
+
+import (
+	"errors"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"olivebridge/internal/lab/link"
+	"olivebridge/internal/lab/world"
+)
+
+func is(host string) func(string) bool { return func(h string) bool { return h == host } }
+
+func all(string) bool { return true }
+
+// echo is a peer that answers at once what comes.
+func echo() *ear {
+	return &ear{data: func(c link.Conn) { c.Write([]byte("answer")) }, end: link.Conn.Close}
+}
+
+// What comes of a node's exchanges with a peer, each begun at an instant on one
+// connection, while faults come and go.
+func TestFaults(t *testing.T) {
+	type step struct {
+		at    time.Duration
+		fault func(n *Net)
+	}
+	var heal func()
+	cut := step{90 * ms, func(n *Net) { heal = n.Cut(is("n1"), is("p1")) }}
+	healAt := func(at time.Duration) step { return step{at, func(*Net) { heal() }} }
+	none := time.Duration(-1) // no answer
+	tests := []struct {
+		name  string
+		steps []step
+		asks  []time.Duration
+		took  []time.Duration // until the answer
+		err   error           // of the last read
+		heard int             // requests that came
+		fresh bool            // a new connection works at 3 s
+		ended error           // what the peer hears last
+	}{
+		{"none", nil, []time.Duration{100 * ms, 200 * ms}, []time.Duration{2 * ms, 2 * ms}, nil, 2, true, link.EOF},
+		{"cut and healed within a second", []step{cut, healAt(600 * ms)}, []time.Duration{100 * ms, 700 * ms},
+			[]time.Duration{502 * ms, 2 * ms}, nil, 2, true, link.EOF},
+		{"cut for longer", []step{cut, healAt(1200 * ms)}, []time.Duration{100 * ms, 2000 * ms},
+			[]time.Duration{none, none}, syscall.EAGAIN, 0, true, nil},
+		{"cut for long, little lost", []step{cut, healAt(1200 * ms)}, []time.Duration{600 * ms},
+			[]time.Duration{602 * ms}, nil, 1, true, link.EOF},
+		{"cut elsewhere", []step{{90 * ms, func(n *Net) { n.Cut(is("n1"), is("p2")) }}}, []time.Duration{100 * ms},
+			[]time.Duration{2 * ms}, nil, 1, true, link.EOF},
+		{"cut as the answer comes", []step{{101*ms + ms/2, cut.fault}, healAt(400 * ms)}, []time.Duration{100 * ms},
+			[]time.Duration{301 * ms}, nil, 1, true, link.EOF},
+		{"vanished", []step{{90 * ms, func(n *Net) { n.Vanish("p1") }}}, []time.Duration{100 * ms},
+			[]time.Duration{none}, syscall.EAGAIN, 0, false, nil},
+		{"vanished and back", []step{{90 * ms, func(n *Net) { n.Vanish("p1") }}, {200 * ms, func(n *Net) { n.Return("p1") }}},
+			[]time.Duration{100 * ms, 400 * ms}, []time.Duration{none, none}, syscall.ECONNRESET, 0, true, link.Reset},
+		{"vanished unseen", []step{{90 * ms, func(n *Net) { n.Vanish("n1") }}, {200 * ms, func(n *Net) { n.Return("n1") }}},
+			[]time.Duration{400 * ms}, []time.Duration{none}, syscall.ECONNRESET, 0, true, link.Reset},
+		{"hushed", []step{{150 * ms, func(n *Net) { n.Hush(all) }}}, []time.Duration{100 * ms, 200 * ms, 800 * ms},
+			[]time.Duration{2 * ms, none, none}, syscall.EAGAIN, 1, true, nil},
+		{"others hushed", []step{{50 * ms, func(n *Net) { n.Hush(is("n1>p1#2")) }}}, []time.Duration{100 * ms},
+			[]time.Duration{2 * ms}, nil, 1, true, link.EOF},
+		{"slow", []step{{90 * ms, func(n *Net) { heal = n.Slow(3, is("p1"), all) }}, healAt(200 * ms)},
+			[]time.Duration{100 * ms, 300 * ms}, []time.Duration{6 * ms, 2 * ms}, nil, 2, true, link.EOF},
+		{"killed between request and answer", []step{{101*ms + ms/2, func(n *Net) { n.Kill("p1") }}}, []time.Duration{100 * ms},
+			[]time.Duration{2 * ms}, syscall.ECONNRESET, 1, false, nil},
+		{"killed before the request", []step{{100*ms + ms/2, func(n *Net) { n.Kill("p1") }}}, []time.Duration{100 * ms},
+			[]time.Duration{none}, syscall.ECONNRESET, 0, false, nil},
+	}
+	for _, test := range tests {
+		e := echo()
+		heard := 0
+		e.data = func(c link.Conn) { heard++; c.Write([]byte("answer")) }
+		l := play(t, world.Net{}, func(l *lab) {
+			l.listen("p1:90", e)
+			for _, s := range test.steps {
+				l.at(s.at, func() { s.fault(l.Net) })
+			}
+			l.at(3*time.Second, func() {
+				again := &ear{up: link.Conn.Close, end: link.Conn.Close, l: l}
+				l.Dial("c1", "p1:90", time.Second, again)
+				l.at(5*time.Second, func() {
+					if up := len(again.ended) == 0; up != test.fresh {
+						t.Errorf("%s: a new connection: %v", test.name, again.ended)
+					}
+					e.first.Close() // what fell silent
+				})
+			})
+			l.at(2900*ms, func() { // the node has left
+				if len(e.ended) > 0 != (test.ended != nil) || test.ended != nil && e.ended[0] != test.ended {
+					t.Errorf("%s: the peer heard %v, want %v", test.name, e.ended, test.ended)
+				}
+			})
+			l.ask("p1:90", func(p *port) {
+				var err error
+				for i, at := range test.asks {
+					time.Sleep(at - l.loop.Now())
+					p.Write([]byte("request"))
+					p.SetReadDeadline(time.Now().Add(690 * ms))
+					took := none
+					var n int
+					if n, err = p.Read(make([]byte, 9)); n > 0 {
+						took = (l.loop.Now() - at).Truncate(ms / 2)
+					}
+					if took != test.took[i] {
+						t.Errorf("%s: answer %d after %v, want %v (%v)", test.name, i, took, test.took[i], err)
+					}
+				}
+				time.Sleep(2500*ms - l.loop.Now())
+				if _, err = p.Peek(); test.err != nil && !errors.Is(err, test.err) {
+					t.Errorf("%s: in the end %v, want %v", test.name, err, test.err)
+				}
+			})
+		})
+		if heard != test.heard {
+			t.Errorf("%s: the peer heard %d requests, want %d; %q", test.name, heard, test.heard, l.seen)
+		}
+	}
+}
+
+// A connection that is to fall silent does so with one of its requests delivered
+// and no byte of the answer; which ones do is the same each time.
+func TestHushNew(t *testing.T) {
+	run := func(before, after int) (silent []string) {
+		l := play(t, world.Net{Jitter: 0.5}, func(l *lab) {
+			e := echo()
+			var conns []link.Conn
+			l.listen("p1:90", e)
+			l.listen("p2:90", e)
+			e.data = func(c link.Conn) { conns = append(conns, c); c.Write([]byte("answer")) }
+			ask := func(to string) {
+				l.ask(to, func(p *port) {
+					for {
+						p.Write([]byte("request"))
+						p.SetReadDeadline(time.Now().Add(50 * ms))
+						if n, _ := p.Read(make([]byte, 9)); n == 0 {
+							silent = append(silent, p.id)
+							return
+						}
+						if l.loop.Now() > time.Second {
+							return
+						}
+					}
+				})
+			}
+			for range before {
+				ask("p1:90")
+			}
+			var stop func()
+			l.at(100*ms, func() {
+				stop = l.HushNew(0.5, is("p1"))
+				for range 40 {
+					ask("p1:90")
+					ask("p2:90")
+				}
+			})
+			l.at(800*ms, func() {
+				stop()
+				for range after {
+					ask("p1:90")
+				}
+			})
+			l.at(2*time.Second, func() {
+				for _, c := range conns {
+					c.Close()
+				}
+			})
+		})
+		for _, id := range silent {
+			if asked, got := len(l.bytes[id+" arrived false"]), len(l.bytes[id+" arrived true"]); asked/7 != got/6+1 {
+				t.Errorf("%s: %d bytes of requests came, %d of answers", id, asked, got)
+			}
+		}
+		slices.Sort(silent)
+		return silent
+	}
+	first := run(0, 0)
+	if len(first) < 10 || len(first) > 30 || slices.ContainsFunc(first, func(id string) bool { return id[:5] != "n1>p1" }) {
+		t.Errorf("%d of 40 fell silent: %v", len(first), first)
+	}
+	if second := run(0, 20); !slices.Equal(first, second) {
+		t.Errorf("others fell silent: %v, then %v", first, second)
+	}
+	if third := run(5, 0); slices.ContainsFunc(third, func(id string) bool { return id < "n1>p1#6" && len(id) == 7 }) {
+		t.Errorf("older ones fell silent: %v", third)
+	}
+}
--- /dev/null
+++ b/internal/lab/network/network_test.go
@@ -0,0 +1,501 @@
+package network
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"olivebridge/internal/lab/link"
+	"olivebridge/internal/lab/loop"
+	"olivebridge/internal/lab/world"
+)
+
+const ms = time.Millisecond
+
+func TestPiecesReassemble(t *testing.T) {
+	for _, c := range []world.Net{{Jitter: 0.5}, {Jitter: 0.5, Pieces: 0.7, Rate: 1e7}} {
+		var sent, back bytes.Buffer
+		far := &ear{}
+		r := rand.New(rand.NewPCG(1, 2))
+		some := func() []byte { return bytes.Repeat([]byte{byte(r.Uint32())}, 1+r.IntN(3000)) }
+		l := play(t, c, func(l *lab) {
+			l.listen("p1:90", far)
+			far.end = link.Conn.Close
+			for i := range 300 {
+				l.at(time.Duration(i)*ms+10*ms, func() { b := some(); back.Write(b); far.c.Write(b) })
+			}
+			l.ask("p1:90", func(p *port) {
+				var got []byte
+				for range 300 {
+					b := some()
+					sent.Write(b)
+					p.Write(b)
+					time.Sleep(ms / 3)
+				}
+				p.CloseWrite()
+				got, err := io.ReadAll(p)
+				if want := back.Bytes(); err != nil || !bytes.HasPrefix(want, got) || len(got) < 1000 {
+					t.Errorf("read %d bytes, %v; not the first of the %d written", len(got), err, len(want))
+				}
+			})
+		})
+		if !bytes.Equal(far.got, sent.Bytes()) || l.bytes["n1>p1#1 arrived false"] != sent.String() {
+			t.Errorf("%+v: %d bytes came of %d, or in another order", c, len(far.got), sent.Len())
+		}
+		if cut := l.count(" arrived") > l.count(" sent"); cut != (c.Pieces > 0) {
+			t.Errorf("%+v: %d writes came as %d pieces", c, l.count(" sent"), l.count(" arrived"))
+		}
+	}
+}
+
+// What a client hears of the end of its connection to a node: whether its request
+// was read hangs on it.
+func TestClientHearsEnd(t *testing.T) {
+	read := func(p *port) { p.Read(make([]byte, 9)) }
+	tests := []struct {
+		name   string
+		node   func(l *lab, p *port) // has the connection at 2 ms, the request at 6 ms
+		second time.Duration         // when the client writes for the second time; 0: never
+		first  bool                  // it writes as it comes up, at 4 ms
+		want   error
+		shut   string // the node's close, as the Tap sees it
+	}{
+		{"all read", func(_ *lab, p *port) { read(p); p.Close() }, 0, true, link.EOF, "shut"},
+		{"half closed", func(_ *lab, p *port) { p.CloseWrite(); time.Sleep(ms); read(p); p.Close() }, 0, true, link.EOF, "fin"},
+		{"unread", func(_ *lab, p *port) { time.Sleep(5 * ms); p.Close() }, 0, true, link.Unread, "shut unread"},
+		{"part unread", func(_ *lab, p *port) { p.Read(make([]byte, 1)); p.Close() }, 0, true, link.Unread, "shut unread"},
+		{"crosses the close", func(_ *lab, p *port) { read(p); p.Close() }, 7 * ms, true, link.Unread, "shut"},
+		{"just before the close", func(_ *lab, p *port) { read(p); read(p); p.Close() }, 7 * ms, true, link.EOF, "shut"},
+		{"answer first", func(_ *lab, p *port) { p.Write([]byte("answer")); time.Sleep(5 * ms); p.Close() }, 0, true,
+			link.Unread, "shut unread"},
+		{"killed", func(l *lab, p *port) { read(p); l.loop.Post(loop.Key{}, func() { l.Kill("n1") }) }, 0, true,
+			link.Reset, "broke killed"},
+		{"killed unread", func(l *lab, p *port) {
+			time.Sleep(5 * ms)
+			l.loop.Post(loop.Key{}, func() { l.Kill("n1") })
+		}, 0, true,
+			link.Reset, "broke killed"},
+	}
+	for _, test := range tests {
+		e := &ear{}
+		l := play(t, world.Net{}, func(l *lab) {
+			l.Place("n1", "a", false)
+			l.Place("c1", "a", true)
+			e.up = func(c link.Conn) {
+				if test.first {
+					c.Write([]byte("request"))
+				}
+			}
+			e.end = func(c link.Conn) { c.Write([]byte("late")); c.Close() }
+			l.dial(0, "n1:80", e)
+			if test.second > 0 {
+				l.at(test.second, func() { e.c.Write([]byte("another")) })
+			}
+			l.serve(func(p *port) { test.node(l, p) })
+		})
+		if len(e.ended) != 1 || e.ended[0] != test.want || l.count("c1>n1#1 "+test.shut) == 0 {
+			t.Errorf("%s: heard %v, want once %v and %q in %q", test.name, e.ended, test.want, test.shut, l.seen)
+		}
+		if test.name == "answer first" && string(e.got) != "answer" {
+			t.Errorf("%s: got %q", test.name, e.got)
+		}
+	}
+}
+
+func TestListenerClosesOnThoseThatWait(t *testing.T) {
+	mute, asks := &ear{}, &ear{up: func(c link.Conn) { c.Write([]byte("request")) }}
+	l := play(t, world.Net{}, func(l *lab) {
+		k, _ := l.Host("n1").Listen("n1:80")
+		if _, err := l.Host("n1").Listen(":80"); !errors.Is(err, syscall.EADDRINUSE) {
+			t.Errorf("second listener: %v", err)
+		}
+		l.dial(0, "n1:80", mute)
+		l.dial(0, "n1:80", asks)
+		late := &ear{}
+		l.dial(30*ms, "n1:80", late)
+		go func() {
+			time.Sleep(20 * ms)
+			k.Close()
+			if _, err := k.Accept(); !errors.Is(err, net.ErrClosed) {
+				t.Errorf("accept: %v", err)
+			}
+			time.Sleep(20 * ms)
+			if len(late.ended) != 1 || late.ended[0] != link.Refused {
+				t.Errorf("a later one: %v", late.ended)
+			}
+		}()
+	})
+	if len(mute.ended) != 1 || mute.ended[0] != link.Reset || len(asks.ended) != 1 || asks.ended[0] != link.Unread {
+		t.Errorf("heard %v, %v in %q", mute.ended, asks.ended, l.seen)
+	}
+	if l.count("#2 open") != 2 || l.count("#2 read") != 0 {
+		t.Errorf("not accepted, or read: %q", l.seen)
+	}
+}
+
+// What a node meets when its peer ends the connection: before the answer, in it,
+// or as the request comes.
+func TestNodeMeetsEnd(t *testing.T) {
+	answer := func(c link.Conn) { c.Write([]byte("answer")) }
+	tests := []struct {
+		name string
+		peer func(c link.Conn)
+		got  string
+		err  error // of the read
+		then error // of a write after it; and another once that has arrived
+		peek error
+	}{
+		{"close", func(c link.Conn) { answer(c); c.Close() }, "answer", nil, syscall.EPIPE, nil},
+		{"end", func(c link.Conn) { answer(c); c.CloseWrite() }, "answer", nil, nil, nil},
+		{"reset", link.Conn.Reset, "", syscall.ECONNRESET, syscall.ECONNRESET, syscall.ECONNRESET},
+		{"reset in it", func(c link.Conn) { answer(c); c.Reset() }, "answer", syscall.ECONNRESET, syscall.ECONNRESET,
+			syscall.ECONNRESET},
+	}
+	for _, test := range tests {
+		e := &ear{data: test.peer, end: link.Conn.Close}
+		play(t, world.Net{}, func(l *lab) {
+			l.listen("p1:90", e)
+			l.ask("p1:90", func(p *port) {
+				if n, err := p.Peek(); n != 0 || err != syscall.EAGAIN {
+					t.Errorf("%s: peek before: %d, %v", test.name, n, err)
+				}
+				p.Write([]byte("request"))
+				time.Sleep(5 * ms)
+				if n, err := p.Peek(); n != len(test.got) || n == 0 && !errors.Is(err, test.peek) {
+					t.Errorf("%s: peek: %d, %v", test.name, n, err)
+				}
+				got, err := io.ReadAll(p)
+				if string(got) != test.got || !errors.Is(err, test.err) {
+					t.Errorf("%s: read %q, %v; want %q, %v", test.name, got, err, test.got, test.err)
+				}
+				if n, err := p.Peek(); n != 0 || !errors.Is(err, test.peek) {
+					t.Errorf("%s: peek behind: %d, %v", test.name, n, err)
+				}
+				_, err = p.Write([]byte("more"))
+				time.Sleep(5 * ms)
+				if _, second := p.Write([]byte("more")); !errors.Is(errors.Join(err, second), test.then) {
+					t.Errorf("%s: writes: %v, %v; want %v", test.name, err, second, test.then)
+				}
+			})
+		})
+	}
+}
+
+func TestPeerClosesOnBytesThatItHeld(t *testing.T) {
+	e := &ear{}
+	l := play(t, world.Net{}, func(l *lab) {
+		l.listen("p1:90", e)
+		l.at(3*ms, func() { e.c.Hold(true) })
+		l.at(9*ms, func() { e.c.Close() })
+		l.ask("p1:90", func(p *port) {
+			time.Sleep(3 * ms)
+			p.Write([]byte("request"))
+			if _, err := p.Read(make([]byte, 9)); !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("read: %v", err)
+			}
+		})
+	})
+	if len(e.got) > 0 || l.count("shut unread") != 1 {
+		t.Errorf("heard %q; %q", e.got, l.seen)
+	}
+}
+
+func TestDials(t *testing.T) {
+	soon := func() (context.Context, context.CancelFunc) { return context.WithTimeout(context.Background(), 5*ms) }
+	left := func() (context.Context, context.CancelFunc) {
+		ctx, stop := context.WithCancel(context.Background())
+		time.AfterFunc(ms+ms/2, stop) // it has come up there, not yet here
+		return ctx, stop
+	}
+	tests := []struct {
+		name, to string
+		ctx      func() (context.Context, context.CancelFunc)
+		want     error
+		timeout  bool
+		took     time.Duration
+		heard    error // by the peer
+	}{
+		{"taken", "p1:90", soon, nil, false, 2 * ms, link.EOF},
+		{"nobody listens", "p1:91", soon, syscall.ECONNREFUSED, false, 2 * ms, nil},
+		{"no machine", "p9:90", soon, syscall.ECONNREFUSED, false, 2 * ms, nil},
+		{"vanished", "gone:90", soon, context.DeadlineExceeded, true, 5 * ms, nil},
+		{"called off", "p1:90", left, context.Canceled, false, ms + ms/2, link.Reset},
+		{"killed", "gone:90", func() (context.Context, context.CancelFunc) { return context.Background(), func() {} },
+			net.ErrClosed, false, 500 * ms, nil},
+	}
+	for _, test := range tests {
+		e := &ear{end: link.Conn.Close}
+		l := play(t, world.Net{}, func(l *lab) {
+			l.listen("p1:90", e)
+			l.Vanish("gone")
+			l.at(500*ms, func() { l.Kill("n1") })
+			h := l.Host("n1")
+			go func() {
+				ctx, stop := test.ctx()
+				defer stop()
+				c, err := h.Dial(ctx, test.to)
+				if took := l.loop.Now().Truncate(ms / 2); !errors.Is(err, test.want) || (c == nil) != (err != nil) || took != test.took {
+					t.Errorf("%s: %v after %v; want %v after %v", test.name, err, took, test.want, test.took)
+				}
+				if n, ok := err.(net.Error); err != nil && (!ok || n.Timeout() != test.timeout) {
+					t.Errorf("%s: %v: timeout %v", test.name, err, !test.timeout)
+				}
+				if c != nil {
+					if c.RemoteAddr().String() != "p1:90" || c.LocalAddr().String() != "n1:32769" {
+						t.Errorf("%s: from %v to %v", test.name, c.LocalAddr(), c.RemoteAddr())
+					}
+					c.Close()
+				}
+				time.Sleep(time.Second)
+				if _, err := h.Dial(context.Background(), "p1:90"); !errors.Is(err, net.ErrClosed) {
+					t.Errorf("%s: a dead process dials: %v", test.name, err)
+				}
+				if _, err := h.Listen(":80"); !errors.Is(err, net.ErrClosed) {
+					t.Errorf("%s: a dead process listens: %v", test.name, err)
+				}
+				if k, err := l.Host("n1").Listen(":80"); err != nil {
+					t.Errorf("%s: a new process does not: %v", test.name, err)
+				} else {
+					k.Close()
+				}
+			}()
+		})
+		if len(e.ended) > 1 || len(e.ended) == 1 && e.ended[0] != test.heard || test.heard != nil && len(e.ended) == 0 {
+			t.Errorf("%s: the peer heard %v, want %v", test.name, e.ended, test.heard)
+		}
+		if fails := l.count(" fail"); (fails == 1) != (test.want != nil) {
+			t.Errorf("%s: %q", test.name, l.seen)
+		}
+	}
+}
+
+// A call on a port that waits ends at once when the deadline is set to the past
+// (so the carrier interrupts a try), at the deadline, or when the port is closed.
+func TestWhatEndsAWait(t *testing.T) {
+	wait := map[string]func(p *port) error{
+		"read":  func(p *port) error { _, err := p.Read(make([]byte, 1)); return err },
+		"write": func(p *port) error { _, err := p.Write(make([]byte, 2*window)); return err },
+		"gate": func(p *port) error {
+			_, err := p.ReadGate(make([]byte, 1), &sync.Mutex{}, func() error { return nil }, nil)
+			return err
+		},
+	}
+	end := map[string]func(p *port) error{
+		"past": func(p *port) error { return p.SetDeadline(time.Unix(1, 0)) },
+		"soon": func(p *port) error { return p.SetDeadline(time.Now().Add(3 * ms)) },
+		"sooner": func(p *port) error {
+			p.SetDeadline(time.Now().Add(time.Hour))
+			return p.SetDeadline(time.Now().Add(3 * ms))
+		},
+		"later": func(p *port) error { p.SetDeadline(time.Now().Add(ms)); return p.SetDeadline(time.Now().Add(3 * ms)) },
+		"close": func(p *port) error { p.SetDeadline(time.Now().Add(time.Hour)); return p.Close() },
+		"kill":  func(p *port) error { p.n.loop.Post(loop.Key{}, func() { p.n.Kill("n1") }); return nil },
+	}
+	for what, call := range wait {
+		for how, ends := range end {
+			e := &ear{end: link.Conn.Close}
+			play(t, world.Net{}, func(l *lab) {
+				l.listen("p1:90", e)
+				l.at(3*ms, func() { e.c.Hold(true) })
+				l.at(time.Second, func() { e.c.Hold(false) })
+				l.ask("p1:90", func(p *port) {
+					time.Sleep(5 * ms)
+					ended := make(chan error)
+					go func() { ended <- call(p) }()
+					time.Sleep(20 * ms)
+					start := time.Now()
+					if err := ends(p); err != nil {
+						t.Errorf("%s, %s: %v", what, how, err)
+					}
+					err := <-ended
+					closed := how == "close" || how == "kill"
+					took := 0 * ms
+					if how == "soon" || how == "sooner" || how == "later" {
+						took = 3 * ms
+					}
+					if time.Since(start) != took || closed && !errors.Is(err, net.ErrClosed) ||
+						!closed && !errors.Is(err, os.ErrDeadlineExceeded) {
+						t.Errorf("%s, %s: %v after %v", what, how, err, time.Since(start))
+					}
+					if p.SetDeadline(time.Time{}); !closed && what == "read" {
+						l.loop.Post(loop.Key{}, func() { e.c.Write([]byte("x")) })
+						if err := call(p); err != nil {
+							t.Errorf("%s, %s: without a deadline: %v", what, how, err)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+func TestReadGate(t *testing.T) {
+	e := &ear{end: link.Conn.Close}
+	errGone := errors.New("gone")
+	play(t, world.Net{}, func(l *lab) {
+		l.listen("p1:90", e)
+		l.at(10*ms, func() { e.c.Write([]byte("first")) })
+		l.at(30*ms, func() { e.c.Write([]byte("second")) })
+		l.at(40*ms, func() { e.c.Close() })
+		l.ask("p1:90", func(p *port) {
+			var mu sync.Mutex
+			gone, asked, b := false, 0, make([]byte, 20)
+			open := func() error {
+				if asked++; mu.TryLock() {
+					t.Error("asked without the lock")
+				}
+				if gone {
+					return errGone
+				}
+				return nil
+			}
+			took := func(n int) {
+				if mu.TryLock() || n == 0 {
+					t.Errorf("took %d without the lock, or nothing", n)
+				}
+			}
+			if n, err := p.ReadGate(b, &mu, open, took); string(b[:n]) != "first" || err != nil || asked != 1 {
+				t.Errorf("read %q, %v; asked %d times", b[:n], err, asked)
+			}
+			go func() {
+				time.Sleep(10 * ms)
+				mu.Lock()
+				gone = true
+				mu.Unlock()
+			}()
+			if n, err := p.ReadGate(b, &mu, open, took); n != 0 || err != errGone || asked != 2 {
+				t.Errorf("closed: read %q, %v; asked %d times", b[:n], err, asked)
+			}
+			if n, _ := p.Peek(); n != 6 {
+				t.Errorf("%d bytes are left", n)
+			}
+			gone = false
+			time.Sleep(20 * ms)
+			p.ReadGate(b, &mu, open, took)
+			if n, err := p.ReadGate(b, &mu, open, took); n != 0 || err != io.EOF || asked != 4 {
+				t.Errorf("end: read %d, %v; asked %d times", n, err, asked)
+			}
+		})
+	})
+}
+
+func TestWindow(t *testing.T) {
+	e := &ear{end: link.Conn.Close}
+	play(t, world.Net{}, func(l *lab) {
+		l.listen("p1:90", e)
+		l.at(3*ms, func() { e.c.Hold(true) })
+		l.at(100*ms, func() {
+			if len(e.got) != 0 {
+				t.Errorf("held, and heard %d bytes", len(e.got))
+			}
+			e.c.Hold(false)
+			e.c.Write(make([]byte, 3*window/2)) // more than the window at once
+			e.c.Write(make([]byte, window))
+			e.c.CloseWrite()
+		})
+		l.ask("p1:90", func(p *port) {
+			time.Sleep(5 * ms)
+			p.Write(make([]byte, window-1))
+			p.Write(make([]byte, 1))
+			if took := l.loop.Now().Truncate(ms); took != 7*ms {
+				t.Errorf("the window was full at %v", took)
+			}
+			if n, err := p.Write(make([]byte, 2)); n != 2 || err != nil || l.loop.Now() < 100*ms {
+				t.Errorf("beyond the window: %d, %v at %v", n, err, l.loop.Now())
+			}
+			time.Sleep(100 * ms)
+			if n, _ := p.Peek(); n != 3*window/2 {
+				t.Errorf("%d bytes came without a read", n)
+			}
+			if b, err := io.ReadAll(p); len(b) != 5*window/2 || err != nil {
+				t.Errorf("%d bytes came, %v", len(b), err)
+			}
+		})
+	})
+	if len(e.got) != window+2 {
+		t.Errorf("%d bytes came", len(e.got))
+	}
+}
+
+// Goroutines of one node that act at one instant leave one and the same trace.
+func TestSameTrace(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(8))
+	hashes := map[string]int{}
+	for range 100 {
+		l := play(t, world.Net{Jitter: 0.4, Pieces: 0.3}, func(l *lab) {
+			e := &ear{data: func(c link.Conn) { c.Write([]byte("answer")) }, end: link.Conn.Close}
+			l.listen("p1:90", e)
+			l.listen("p2:90", e)
+			for i := range 8 {
+				l.ask(fmt.Sprintf("p%d:90", 1+i%2), func(p *port) {
+					time.Sleep(50*ms - time.Duration(l.loop.Now())) // all at the same instant
+					go io.Copy(io.Discard, p)
+					for range 5 {
+						p.Write([]byte("request"))
+						time.Sleep(10 * ms)
+					}
+				})
+			}
+		})
+		hashes[string(l.trace.Sum(nil))]++
+	}
+	if len(hashes) != 1 {
+		t.Errorf("%d different traces", len(hashes))
+	}
+}
+
+// All of net/http, both sides on the network, in a bubble that ends.
+func TestHTTP(t *testing.T) {
+	c := world.Net{Jitter: 0.4, Pieces: 0.3}
+	hashes := map[[32]byte]bool{}
+	for range 3 {
+		l := play(t, c, func(l *lab) {
+			k, _ := l.Host("n1").Listen(":80")
+			s := &http.Server{IdleTimeout: time.Second, ReadTimeout: time.Second, Handler: http.HandlerFunc(
+				func(w http.ResponseWriter, r *http.Request) {
+					b, _ := io.ReadAll(r.Body)
+					time.Sleep(3 * ms)
+					fmt.Fprintf(w, "%s %s", r.URL, strings.Repeat(string(b), 900))
+				})}
+			go s.Serve(k)
+			time.AfterFunc(5*time.Second, func() { s.Shutdown(context.Background()) })
+			host := l.Host("c1")
+			dial := func(ctx context.Context, _, addr string) (net.Conn, error) { return host.Dial(ctx, addr) }
+			for i := range 3 {
+				h := &http.Client{Transport: &http.Transport{DialContext: dial}, Timeout: time.Second}
+				go func() {
+					defer h.CloseIdleConnections()
+					for j := range 20 {
+						time.Sleep(time.Duration(i)*ms + 10*ms)
+						resp, err := h.Post(fmt.Sprintf("http://n1:80/%d/%d", i, j), "", strings.NewReader("seven"))
+						if err != nil {
+							t.Error(err)
+							return
+						}
+						b, err := io.ReadAll(resp.Body)
+						resp.Body.Close()
+						if want := fmt.Sprintf("/%d/%d seven", i, j); err != nil || !strings.HasPrefix(string(b), want) || len(b) < 4500 {
+							t.Errorf("%q, %v", b, err)
+						}
+					}
+				}()
+			}
+		})
+		hashes[[32]byte(l.trace.Sum(nil))] = true
+	}
+	if len(hashes) != 1 {
+		t.Errorf("%d different traces", len(hashes))
+	}
+}
