--- a/internal/lab/link/tap.go
+++ b/internal/lab/link/tap.go
@@ -15,7 +15,7 @@
 
 const (
 	Dial    What = iota // From asks for a connection to To
-	Open                // it is up at the side that dialed, and at the other
+	Open                // it is up: first at To's side (Back), then at the side that dialed
 	Fail                // it did not come up, for the reason in Note
 	Sent                // bytes left the sending machine: they have been written whole
 	Arrived             // bytes reached the other machine
@@ -36,7 +36,7 @@
 	What     What
 	Conn     string // its ID
 	From, To string // of the connection: host that dialed, address dialed
-	Back     bool   // from To's side to From's; for Shut, Broke: at To's side
+	Back     bool   // from To's side to From's; for Open, Shut, Broke: at To's side
 	Data     []byte // of Sent, Arrived; for Read only its length counts
 	Note     string
 }
--- a/internal/lab/network/faults_test.go
+++ b/internal/lab/network/faults_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"slices"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -28,46 +30,50 @@
 		fault func(n *Net)
 	}
 	var heal func()
-	cut := step{90 * ms, func(n *Net) { heal = n.Cut(is("n1"), is("p1")) }}
-	healAt := func(at time.Duration) step { return step{at, func(*Net) { heal() }} }
-	none := time.Duration(-1) // no answer
+	cut := func(n *Net) { heal = n.Cut(is("n1"), is("p1")) }
+	healed := func(*Net) { heal() }
+	vanish := func(host string) func(n *Net) { return func(n *Net) { n.Vanish(host) } }
+	back := func(host string) func(n *Net) { return func(n *Net) { n.Return(host) } }
+	kill := func(n *Net) { n.Kill("p1") }
+	const none = -time.Millisecond // no answer
+	type times = []time.Duration
 	tests := []struct {
 		name  string
 		steps []step
-		asks  []time.Duration
-		took  []time.Duration // until the answer
-		err   error           // of the last read
-		heard int             // requests that came
-		fresh bool            // a new connection works at 3 s
-		ended error           // what the peer hears last
+		asks  times
+		took  times // until the answer
+		err   error // of the last read
+		heard int   // requests that came
+		fresh bool  // a new connection works at 3 s
+		ended error // what the peer hears last
 	}{
-		{"none", nil, []time.Duration{100 * ms, 200 * ms}, []time.Duration{2 * ms, 2 * ms}, nil, 2, true, link.EOF},
-		{"cut and healed within a second", []step{cut, healAt(600 * ms)}, []time.Duration{100 * ms, 700 * ms},
-			[]time.Duration{502 * ms, 2 * ms}, nil, 2, true, link.EOF},
-		{"cut for longer", []step{cut, healAt(1200 * ms)}, []time.Duration{100 * ms, 2000 * ms},
-			[]time.Duration{none, none}, syscall.EAGAIN, 0, true, nil},
-		{"cut for long, little lost", []step{cut, healAt(1200 * ms)}, []time.Duration{600 * ms},
-			[]time.Duration{602 * ms}, nil, 1, true, link.EOF},
-		{"cut elsewhere", []step{{90 * ms, func(n *Net) { n.Cut(is("n1"), is("p2")) }}}, []time.Duration{100 * ms},
-			[]time.Duration{2 * ms}, nil, 1, true, link.EOF},
-		{"cut as the answer comes", []step{{101*ms + ms/2, cut.fault}, healAt(400 * ms)}, []time.Duration{100 * ms},
-			[]time.Duration{301 * ms}, nil, 1, true, link.EOF},
-		{"vanished", []step{{90 * ms, func(n *Net) { n.Vanish("p1") }}}, []time.Duration{100 * ms},
-			[]time.Duration{none}, syscall.EAGAIN, 0, false, nil},
-		{"vanished and back", []step{{90 * ms, func(n *Net) { n.Vanish("p1") }}, {200 * ms, func(n *Net) { n.Return("p1") }}},
-			[]time.Duration{100 * ms, 400 * ms}, []time.Duration{none, none}, syscall.ECONNRESET, 0, true, link.Reset},
-		{"vanished unseen", []step{{90 * ms, func(n *Net) { n.Vanish("n1") }}, {200 * ms, func(n *Net) { n.Return("n1") }}},
-			[]time.Duration{400 * ms}, []time.Duration{none}, syscall.ECONNRESET, 0, true, link.Reset},
-		{"hushed", []step{{150 * ms, func(n *Net) { n.Hush(all) }}}, []time.Duration{100 * ms, 200 * ms, 800 * ms},
-			[]time.Duration{2 * ms, none, none}, syscall.EAGAIN, 1, true, nil},
-		{"others hushed", []step{{50 * ms, func(n *Net) { n.Hush(is("n1>p1#2")) }}}, []time.Duration{100 * ms},
-			[]time.Duration{2 * ms}, nil, 1, true, link.EOF},
-		{"slow", []step{{90 * ms, func(n *Net) { heal = n.Slow(3, is("p1"), all) }}, healAt(200 * ms)},
-			[]time.Duration{100 * ms, 300 * ms}, []time.Duration{6 * ms, 2 * ms}, nil, 2, true, link.EOF},
-		{"killed between request and answer", []step{{101*ms + ms/2, func(n *Net) { n.Kill("p1") }}}, []time.Duration{100 * ms},
-			[]time.Duration{2 * ms}, syscall.ECONNRESET, 1, false, nil},
-		{"killed before the request", []step{{100*ms + ms/2, func(n *Net) { n.Kill("p1") }}}, []time.Duration{100 * ms},
-			[]time.Duration{none}, syscall.ECONNRESET, 0, false, nil},
+		{"none", nil, times{100 * ms, 200 * ms}, times{2 * ms, 2 * ms}, nil, 2, true, link.EOF},
+		{"cut and healed within a second", []step{{90 * ms, cut}, {600 * ms, healed}},
+			times{100 * ms, 700 * ms}, times{502 * ms, 2 * ms}, nil, 2, true, link.EOF},
+		{"cut for longer", []step{{90 * ms, cut}, {1200 * ms, healed}},
+			times{100 * ms, 2000 * ms}, times{none, none}, syscall.EAGAIN, 0, true, nil},
+		{"cut for long, little lost", []step{{90 * ms, cut}, {1200 * ms, healed}},
+			times{600 * ms}, times{602 * ms}, nil, 1, true, link.EOF},
+		{"cut elsewhere", []step{{90 * ms, func(n *Net) { n.Cut(is("n1"), is("p2")) }}},
+			times{100 * ms}, times{2 * ms}, nil, 1, true, link.EOF},
+		{"cut as the answer comes", []step{{101*ms + ms/2, cut}, {400 * ms, healed}},
+			times{100 * ms}, times{301 * ms}, nil, 1, true, link.EOF},
+		{"vanished", []step{{90 * ms, vanish("p1")}},
+			times{100 * ms}, times{none}, syscall.EAGAIN, 0, false, nil},
+		{"vanished and back", []step{{90 * ms, vanish("p1")}, {200 * ms, back("p1")}},
+			times{100 * ms, 400 * ms}, times{none, none}, syscall.ECONNRESET, 0, true, link.Reset},
+		{"vanished unseen", []step{{90 * ms, vanish("n1")}, {200 * ms, back("n1")}},
+			times{400 * ms}, times{none}, syscall.ECONNRESET, 0, true, link.Reset},
+		{"hushed", []step{{150 * ms, func(n *Net) { n.Hush(all) }}},
+			times{100 * ms, 200 * ms, 800 * ms}, times{2 * ms, none, none}, syscall.EAGAIN, 1, true, nil},
+		{"others hushed", []step{{50 * ms, func(n *Net) { n.Hush(is("n1>p1#2")) }}},
+			times{100 * ms}, times{2 * ms}, nil, 1, true, link.EOF},
+		{"slow", []step{{90 * ms, func(n *Net) { heal = n.Slow(3, is("p1"), all) }}, {200 * ms, healed}},
+			times{100 * ms, 300 * ms}, times{6 * ms, 2 * ms}, nil, 2, true, link.EOF},
+		{"killed between request and answer", []step{{101*ms + ms/2, kill}},
+			times{100 * ms}, times{2 * ms}, syscall.ECONNRESET, 1, false, nil},
+		{"killed before the request", []step{{100*ms + ms/2, kill}},
+			times{100 * ms}, times{none}, syscall.ECONNRESET, 0, false, nil},
 	}
 	for _, test := range tests {
 		e := echo()
@@ -89,8 +95,8 @@
 				})
 			})
 			l.at(2900*ms, func() { // the node has left
-				if len(e.ended) > 0 != (test.ended != nil) || test.ended != nil && e.ended[0] != test.ended {
-					t.Errorf("%s: the peer heard %v, want %v", test.name, e.ended, test.ended)
+				if got := append(e.ended, nil)[0]; got != test.ended {
+					t.Errorf("%s: the peer heard %v, want %v", test.name, got, test.ended)
 				}
 			})
 			l.ask("p1:90", func(p *port) {
@@ -105,7 +111,7 @@
 						took = (l.loop.Now() - at).Truncate(ms / 2)
 					}
 					if took != test.took[i] {
-						t.Errorf("%s: answer %d after %v, want %v (%v)", test.name, i, took, test.took[i], err)
+						t.Errorf("%s: answer %d after %v, not %v (%v)", test.name, i, took, test.took[i], err)
 					}
 				}
 				time.Sleep(2500*ms - l.loop.Now())
@@ -124,6 +130,7 @@
 // and no byte of the answer; which ones do is the same each time.
 func TestHushNew(t *testing.T) {
 	run := func(before, after int) (silent []string) {
+		var mu sync.Mutex
 		l := play(t, world.Net{Jitter: 0.5}, func(l *lab) {
 			e := echo()
 			var conns []link.Conn
@@ -136,12 +143,14 @@
 						p.Write([]byte("request"))
 						p.SetReadDeadline(time.Now().Add(50 * ms))
 						if n, _ := p.Read(make([]byte, 9)); n == 0 {
+							mu.Lock()
+							defer mu.Unlock()
 							silent = append(silent, p.id)
 							return
-						}
-						if l.loop.Now() > time.Second {
+						} else if l.loop.Now() > time.Second {
 							return
 						}
+						time.Sleep(20 * ms)
 					}
 				})
 			}
@@ -169,21 +178,24 @@
 			})
 		})
 		for _, id := range silent {
-			if asked, got := len(l.bytes[id+" arrived false"]), len(l.bytes[id+" arrived true"]); asked/7 != got/6+1 {
-				t.Errorf("%s: %d bytes of requests came, %d of answers", id, asked, got)
+			asked := strings.Count(l.bytes[id+" arrived false"], "request")
+			if got := strings.Count(l.bytes[id+" arrived true"], "answer"); asked != got+1 {
+				t.Errorf("%s: %d requests came, %d answers", id, asked, got)
 			}
 		}
 		slices.Sort(silent)
 		return silent
 	}
 	first := run(0, 0)
-	if len(first) < 10 || len(first) > 30 || slices.ContainsFunc(first, func(id string) bool { return id[:5] != "n1>p1" }) {
+	other := func(id string) bool { return !strings.HasPrefix(id, "n1>p1#") }
+	if len(first) < 10 || len(first) > 30 || slices.ContainsFunc(first, other) {
 		t.Errorf("%d of 40 fell silent: %v", len(first), first)
 	}
 	if second := run(0, 20); !slices.Equal(first, second) {
 		t.Errorf("others fell silent: %v, then %v", first, second)
 	}
-	if third := run(5, 0); slices.ContainsFunc(third, func(id string) bool { return id < "n1>p1#6" && len(id) == 7 }) {
+	older := func(id string) bool { return len(id) == 7 && id < "n1>p1#6" }
+	if third := run(5, 0); slices.ContainsFunc(third, older) {
 		t.Errorf("older ones fell silent: %v", third)
 	}
 }
--- a/internal/lab/network/lab_test.go
+++ b/internal/lab/network/lab_test.go
@@ -139,3 +139,6 @@
 		f(c.(*port))
 	}()
 }
+
+// now lets f run on the loop at once.
+func (l *lab) now(f func()) { l.loop.Post(loop.Key{}, f) }
--- a/internal/lab/network/network.go
+++ b/internal/lab/network/network.go
@@ -81,7 +81,8 @@
 func (n *Net) see(what link.What, c *conn, back bool, data []byte, note string) {
 	if n.tap != nil {
 		n.tap.See(link.Crossing{
-			At: n.loop.Now(), What: what, Conn: c.id, From: c.from, To: c.to, Back: back, Data: data, Note: note,
+			At: n.loop.Now(), What: what, Conn: c.id, From: c.from, To: c.to,
+			Back: back, Data: data, Note: note,
 		})
 	}
 }
--- a/internal/lab/network/network_test.go
+++ b/internal/lab/network/network_test.go
@@ -26,33 +26,35 @@
 
 func TestPiecesReassemble(t *testing.T) {
 	for _, c := range []world.Net{{Jitter: 0.5}, {Jitter: 0.5, Pieces: 0.7, Rate: 1e7}} {
-		var sent, back bytes.Buffer
-		far := &ear{}
 		r := rand.New(rand.NewPCG(1, 2))
-		some := func() []byte { return bytes.Repeat([]byte{byte(r.Uint32())}, 1+r.IntN(3000)) }
+		var there, back [300][]byte
+		for i := range there {
+			for _, way := range []*[300][]byte{&there, &back} {
+				way[i] = bytes.Repeat([]byte{byte(r.Uint32())}, 1+r.IntN(3000))
+			}
+		}
+		far := &ear{end: link.Conn.Close}
 		l := play(t, c, func(l *lab) {
 			l.listen("p1:90", far)
-			far.end = link.Conn.Close
-			for i := range 300 {
-				l.at(time.Duration(i)*ms+10*ms, func() { b := some(); back.Write(b); far.c.Write(b) })
+			for i, b := range back {
+				l.at(time.Duration(i)*ms+10*ms, func() { far.c.Write(b) })
 			}
 			l.ask("p1:90", func(p *port) {
-				var got []byte
-				for range 300 {
-					b := some()
-					sent.Write(b)
+				for _, b := range there {
 					p.Write(b)
-					time.Sleep(ms / 3)
+					time.Sleep(ms)
 				}
+				time.Sleep(100 * ms)
 				p.CloseWrite()
 				got, err := io.ReadAll(p)
-				if want := back.Bytes(); err != nil || !bytes.HasPrefix(want, got) || len(got) < 1000 {
-					t.Errorf("read %d bytes, %v; not the first of the %d written", len(got), err, len(want))
+				if want := bytes.Join(back[:], nil); err != nil || !bytes.Equal(got, want) {
+					t.Errorf("%+v: read %d bytes of %d, or in another order; %v", c, len(got), len(want), err)
 				}
 			})
 		})
-		if !bytes.Equal(far.got, sent.Bytes()) || l.bytes["n1>p1#1 arrived false"] != sent.String() {
-			t.Errorf("%+v: %d bytes came of %d, or in another order", c, len(far.got), sent.Len())
+		want := string(bytes.Join(there[:], nil))
+		if string(far.got) != want || l.bytes["n1>p1#1 arrived false"] != want {
+			t.Errorf("%+v: %d bytes came of %d, or in another order", c, len(far.got), len(want))
 		}
 		if cut := l.count(" arrived") > l.count(" sent"); cut != (c.Pieces > 0) {
 			t.Errorf("%+v: %d writes came as %d pieces", c, l.count(" sent"), l.count(" arrived"))
@@ -67,37 +69,33 @@
 	tests := []struct {
 		name   string
 		node   func(l *lab, p *port) // has the connection at 2 ms, the request at 6 ms
-		second time.Duration         // when the client writes for the second time; 0: never
-		first  bool                  // it writes as it comes up, at 4 ms
+		second time.Duration         // when the client writes again, after 4 ms; 0: never
 		want   error
 		shut   string // the node's close, as the Tap sees it
 	}{
-		{"all read", func(_ *lab, p *port) { read(p); p.Close() }, 0, true, link.EOF, "shut"},
-		{"half closed", func(_ *lab, p *port) { p.CloseWrite(); time.Sleep(ms); read(p); p.Close() }, 0, true, link.EOF, "fin"},
-		{"unread", func(_ *lab, p *port) { time.Sleep(5 * ms); p.Close() }, 0, true, link.Unread, "shut unread"},
-		{"part unread", func(_ *lab, p *port) { p.Read(make([]byte, 1)); p.Close() }, 0, true, link.Unread, "shut unread"},
-		{"crosses the close", func(_ *lab, p *port) { read(p); p.Close() }, 7 * ms, true, link.Unread, "shut"},
-		{"just before the close", func(_ *lab, p *port) { read(p); read(p); p.Close() }, 7 * ms, true, link.EOF, "shut"},
-		{"answer first", func(_ *lab, p *port) { p.Write([]byte("answer")); time.Sleep(5 * ms); p.Close() }, 0, true,
-			link.Unread, "shut unread"},
-		{"killed", func(l *lab, p *port) { read(p); l.loop.Post(loop.Key{}, func() { l.Kill("n1") }) }, 0, true,
-			link.Reset, "broke killed"},
+		{"all read", func(_ *lab, p *port) { read(p); p.Close() }, 0, link.EOF, "shut"},
+		{"half closed", func(_ *lab, p *port) { p.CloseWrite(); read(p); p.Close() }, 0, link.EOF, "fin"},
+		{"unread", func(_ *lab, p *port) { time.Sleep(5 * ms); p.Close() }, 0, link.Unread, "shut unread"},
+		{"part unread", func(_ *lab, p *port) { p.Read(make([]byte, 1)); p.Close() }, 0, link.Unread, "shut unread"},
+		{"crosses the close", func(_ *lab, p *port) { read(p); p.Close() }, 7 * ms, link.Unread, "shut"},
+		{"before the close", func(_ *lab, p *port) { read(p); read(p); p.Close() }, 7 * ms, link.EOF, "shut"},
+		{"answer first", func(_ *lab, p *port) {
+			p.Write([]byte("answer"))
+			time.Sleep(5 * ms)
+			p.Close()
+		}, 0, link.Unread, "shut unread"},
+		{"killed", func(l *lab, p *port) { read(p); l.now(func() { l.Kill("n1") }) }, 0, link.Reset, "broke killed"},
 		{"killed unread", func(l *lab, p *port) {
 			time.Sleep(5 * ms)
-			l.loop.Post(loop.Key{}, func() { l.Kill("n1") })
-		}, 0, true,
-			link.Reset, "broke killed"},
+			l.now(func() { l.Kill("n1") })
+		}, 0, link.Reset, "broke killed"},
 	}
 	for _, test := range tests {
 		e := &ear{}
 		l := play(t, world.Net{}, func(l *lab) {
 			l.Place("n1", "a", false)
 			l.Place("c1", "a", true)
-			e.up = func(c link.Conn) {
-				if test.first {
-					c.Write([]byte("request"))
-				}
-			}
+			e.up = func(c link.Conn) { c.Write([]byte("request")) }
 			e.end = func(c link.Conn) { c.Write([]byte("late")); c.Close() }
 			l.dial(0, "n1:80", e)
 			if test.second > 0 {
@@ -106,7 +104,7 @@
 			l.serve(func(p *port) { test.node(l, p) })
 		})
 		if len(e.ended) != 1 || e.ended[0] != test.want || l.count("c1>n1#1 "+test.shut) == 0 {
-			t.Errorf("%s: heard %v, want once %v and %q in %q", test.name, e.ended, test.want, test.shut, l.seen)
+			t.Errorf("%s: heard %v, want %v; %q in %q", test.name, e.ended, test.want, test.shut, l.seen)
 		}
 		if test.name == "answer first" && string(e.got) != "answer" {
 			t.Errorf("%s: got %q", test.name, e.got)
@@ -115,7 +113,7 @@
 }
 
 func TestListenerClosesOnThoseThatWait(t *testing.T) {
-	mute, asks := &ear{}, &ear{up: func(c link.Conn) { c.Write([]byte("request")) }}
+	mute, late, asks := &ear{}, &ear{}, &ear{up: func(c link.Conn) { c.Write([]byte("request")) }}
 	l := play(t, world.Net{}, func(l *lab) {
 		k, _ := l.Host("n1").Listen("n1:80")
 		if _, err := l.Host("n1").Listen(":80"); !errors.Is(err, syscall.EADDRINUSE) {
@@ -123,7 +121,6 @@
 		}
 		l.dial(0, "n1:80", mute)
 		l.dial(0, "n1:80", asks)
-		late := &ear{}
 		l.dial(30*ms, "n1:80", late)
 		go func() {
 			time.Sleep(20 * ms)
@@ -131,14 +128,13 @@
 			if _, err := k.Accept(); !errors.Is(err, net.ErrClosed) {
 				t.Errorf("accept: %v", err)
 			}
-			time.Sleep(20 * ms)
-			if len(late.ended) != 1 || late.ended[0] != link.Refused {
-				t.Errorf("a later one: %v", late.ended)
-			}
 		}()
 	})
-	if len(mute.ended) != 1 || mute.ended[0] != link.Reset || len(asks.ended) != 1 || asks.ended[0] != link.Unread {
-		t.Errorf("heard %v, %v in %q", mute.ended, asks.ended, l.seen)
+	if len(late.ended) != 1 || late.ended[0] != link.Refused {
+		t.Errorf("a later one heard %v", late.ended)
+	}
+	if got := fmt.Sprint(mute.ended, asks.ended); got != fmt.Sprintf("[%v] [%v]", link.Reset, link.Unread) {
+		t.Errorf("heard %v in %q", got, l.seen)
 	}
 	if l.count("#2 open") != 2 || l.count("#2 read") != 0 {
 		t.Errorf("not accepted, or read: %q", l.seen)
@@ -160,8 +156,8 @@
 		{"close", func(c link.Conn) { answer(c); c.Close() }, "answer", nil, syscall.EPIPE, nil},
 		{"end", func(c link.Conn) { answer(c); c.CloseWrite() }, "answer", nil, nil, nil},
 		{"reset", link.Conn.Reset, "", syscall.ECONNRESET, syscall.ECONNRESET, syscall.ECONNRESET},
-		{"reset in it", func(c link.Conn) { answer(c); c.Reset() }, "answer", syscall.ECONNRESET, syscall.ECONNRESET,
-			syscall.ECONNRESET},
+		{"reset in it", func(c link.Conn) { answer(c); c.Reset() }, "answer",
+			syscall.ECONNRESET, syscall.ECONNRESET, syscall.ECONNRESET},
 	}
 	for _, test := range tests {
 		e := &ear{data: test.peer, end: link.Conn.Close}
@@ -213,7 +209,10 @@
 }
 
 func TestDials(t *testing.T) {
-	soon := func() (context.Context, context.CancelFunc) { return context.WithTimeout(context.Background(), 5*ms) }
+	always := func() (context.Context, context.CancelFunc) { return context.Background(), func() {} }
+	soon := func() (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), 5*ms)
+	}
 	left := func() (context.Context, context.CancelFunc) {
 		ctx, stop := context.WithCancel(context.Background())
 		time.AfterFunc(ms+ms/2, stop) // it has come up there, not yet here
@@ -232,8 +231,7 @@
 		{"no machine", "p9:90", soon, syscall.ECONNREFUSED, false, 2 * ms, nil},
 		{"vanished", "gone:90", soon, context.DeadlineExceeded, true, 5 * ms, nil},
 		{"called off", "p1:90", left, context.Canceled, false, ms + ms/2, link.Reset},
-		{"killed", "gone:90", func() (context.Context, context.CancelFunc) { return context.Background(), func() {} },
-			net.ErrClosed, false, 500 * ms, nil},
+		{"killed", "gone:90", always, net.ErrClosed, false, 500 * ms, nil},
 	}
 	for _, test := range tests {
 		e := &ear{end: link.Conn.Close}
@@ -246,7 +244,8 @@
 				ctx, stop := test.ctx()
 				defer stop()
 				c, err := h.Dial(ctx, test.to)
-				if took := l.loop.Now().Truncate(ms / 2); !errors.Is(err, test.want) || (c == nil) != (err != nil) || took != test.took {
+				took := l.loop.Now().Truncate(ms / 2)
+				if !errors.Is(err, test.want) || (c == nil) != (err != nil) || took != test.took {
 					t.Errorf("%s: %v after %v; want %v after %v", test.name, err, took, test.want, test.took)
 				}
 				if n, ok := err.(net.Error); err != nil && (!ok || n.Timeout() != test.timeout) {
@@ -272,7 +271,7 @@
 				}
 			}()
 		})
-		if len(e.ended) > 1 || len(e.ended) == 1 && e.ended[0] != test.heard || test.heard != nil && len(e.ended) == 0 {
+		if got := append(e.ended, nil)[0]; got != test.heard || len(e.ended) > 1 {
 			t.Errorf("%s: the peer heard %v, want %v", test.name, e.ended, test.heard)
 		}
 		if fails := l.count(" fail"); (fails == 1) != (test.want != nil) {
@@ -292,16 +291,14 @@
 			return err
 		},
 	}
+	in := func(p *port, d time.Duration) error { return p.SetDeadline(time.Now().Add(d)) }
 	end := map[string]func(p *port) error{
-		"past": func(p *port) error { return p.SetDeadline(time.Unix(1, 0)) },
-		"soon": func(p *port) error { return p.SetDeadline(time.Now().Add(3 * ms)) },
-		"sooner": func(p *port) error {
-			p.SetDeadline(time.Now().Add(time.Hour))
-			return p.SetDeadline(time.Now().Add(3 * ms))
-		},
-		"later": func(p *port) error { p.SetDeadline(time.Now().Add(ms)); return p.SetDeadline(time.Now().Add(3 * ms)) },
-		"close": func(p *port) error { p.SetDeadline(time.Now().Add(time.Hour)); return p.Close() },
-		"kill":  func(p *port) error { p.n.loop.Post(loop.Key{}, func() { p.n.Kill("n1") }); return nil },
+		"past":   func(p *port) error { return p.SetDeadline(time.Unix(1, 0)) },
+		"soon":   func(p *port) error { return in(p, 3*ms) },
+		"sooner": func(p *port) error { return errors.Join(in(p, time.Hour), in(p, 3*ms)) },
+		"later":  func(p *port) error { return errors.Join(in(p, ms), in(p, 3*ms)) },
+		"close":  func(p *port) error { return errors.Join(in(p, time.Hour), p.Close()) },
+		"kill":   func(p *port) error { p.n.loop.Post(loop.Key{}, func() { p.n.Kill("n1") }); return nil },
 	}
 	for what, call := range wait {
 		for how, ends := range end {
@@ -330,7 +327,7 @@
 						t.Errorf("%s, %s: %v after %v", what, how, err, time.Since(start))
 					}
 					if p.SetDeadline(time.Time{}); !closed && what == "read" {
-						l.loop.Post(loop.Key{}, func() { e.c.Write([]byte("x")) })
+						l.now(func() { e.c.Write([]byte("x")) })
 						if err := call(p); err != nil {
 							t.Errorf("%s, %s: without a deadline: %v", what, how, err)
 						}
@@ -366,7 +363,8 @@
 					t.Errorf("took %d without the lock, or nothing", n)
 				}
 			}
-			if n, err := p.ReadGate(b, &mu, open, took); string(b[:n]) != "first" || err != nil || asked != 1 {
+			n, err := p.ReadGate(b, &mu, open, took)
+			if string(b[:n]) != "first" || err != nil || asked != 1 {
 				t.Errorf("read %q, %v; asked %d times", b[:n], err, asked)
 			}
 			go func() {
@@ -472,22 +470,25 @@
 			go s.Serve(k)
 			time.AfterFunc(5*time.Second, func() { s.Shutdown(context.Background()) })
 			host := l.Host("c1")
-			dial := func(ctx context.Context, _, addr string) (net.Conn, error) { return host.Dial(ctx, addr) }
+			dial := func(ctx context.Context, _, addr string) (net.Conn, error) {
+				return host.Dial(ctx, addr)
+			}
 			for i := range 3 {
 				h := &http.Client{Transport: &http.Transport{DialContext: dial}, Timeout: time.Second}
 				go func() {
 					defer h.CloseIdleConnections()
 					for j := range 20 {
 						time.Sleep(time.Duration(i)*ms + 10*ms)
-						resp, err := h.Post(fmt.Sprintf("http://n1:80/%d/%d", i, j), "", strings.NewReader("seven"))
+						url, want := fmt.Sprintf("http://n1:80/%d", j), fmt.Sprintf("/%d seven", j)
+						resp, err := h.Post(url, "", strings.NewReader("seven"))
 						if err != nil {
 							t.Error(err)
 							return
 						}
 						b, err := io.ReadAll(resp.Body)
 						resp.Body.Close()
-						if want := fmt.Sprintf("/%d/%d seven", i, j); err != nil || !strings.HasPrefix(string(b), want) || len(b) < 4500 {
-							t.Errorf("%q, %v", b, err)
+						if err != nil || !strings.HasPrefix(string(b), want) || len(b) < 4500 {
+							t.Errorf("%d: %q, %v", i, b, err)
 						}
 					}
 				}()
--- a/internal/lab/network/port.go
+++ b/internal/lab/network/port.go
@@ -111,7 +111,9 @@
 }
 
 // takeGated is one such time; ok is false if what was there is no longer.
-func (p *port) takeGated(b []byte, mu sync.Locker, open func() error, took func(n int)) (n int, ok bool, err error) {
+func (p *port) takeGated(
+	b []byte, mu sync.Locker, open func() error, took func(n int),
+) (n int, ok bool, err error) {
 	mu.Lock()
 	defer mu.Unlock()
 	if err := open(); err != nil {
