--- a/internal/lab/network/network_test.go
+++ b/internal/lab/network/network_test.go
@@ -66,6 +66,7 @@
 // was read hangs on it.
 func TestClientHearsEnd(t *testing.T) {
 	read := func(p *port) { p.Read(make([]byte, 9)) }
+	kill := func(l *lab) func() { return func() { l.Kill("n1") } }
 	tests := []struct {
 		name   string
 		node   func(l *lab, p *port) // has the connection at 2 ms, the request at 6 ms
@@ -76,18 +77,19 @@
 		{"all read", func(_ *lab, p *port) { read(p); p.Close() }, 0, link.EOF, "shut"},
 		{"half closed", func(_ *lab, p *port) { p.CloseWrite(); read(p); p.Close() }, 0, link.EOF, "fin"},
 		{"unread", func(_ *lab, p *port) { time.Sleep(5 * ms); p.Close() }, 0, link.Unread, "shut unread"},
-		{"part unread", func(_ *lab, p *port) { p.Read(make([]byte, 1)); p.Close() }, 0, link.Unread, "shut unread"},
+		{"part read", func(_ *lab, p *port) { p.Read(make([]byte, 1)); p.Close() }, 0, link.Unread, "shut unread"},
 		{"crosses the close", func(_ *lab, p *port) { read(p); p.Close() }, 7 * ms, link.Unread, "shut"},
+		{"comes behind the close", func(_ *lab, p *port) { read(p); p.Close() }, 4*ms + ms/2, link.Unread, "shut"},
 		{"before the close", func(_ *lab, p *port) { read(p); read(p); p.Close() }, 7 * ms, link.EOF, "shut"},
 		{"answer first", func(_ *lab, p *port) {
 			p.Write([]byte("answer"))
 			time.Sleep(5 * ms)
 			p.Close()
 		}, 0, link.Unread, "shut unread"},
-		{"killed", func(l *lab, p *port) { read(p); l.now(func() { l.Kill("n1") }) }, 0, link.Reset, "broke killed"},
+		{"killed", func(l *lab, p *port) { read(p); l.now(kill(l)) }, 0, link.Reset, "broke killed"},
 		{"killed unread", func(l *lab, p *port) {
 			time.Sleep(5 * ms)
-			l.now(func() { l.Kill("n1") })
+			l.now(kill(l))
 		}, 0, link.Reset, "broke killed"},
 	}
 	for _, test := range tests {
@@ -96,7 +98,10 @@
 			l.Place("n1", "a", false)
 			l.Place("c1", "a", true)
 			e.up = func(c link.Conn) { c.Write([]byte("request")) }
-			e.end = func(c link.Conn) { c.Write([]byte("late")); c.Close() }
+			e.end = func(c link.Conn) {
+				c.Write([]byte("late")) // is answered with a reset, which is not heard
+				l.loop.After(100*ms, c.Close)
+			}
 			l.dial(0, "n1:80", e)
 			if test.second > 0 {
 				l.at(test.second, func() { e.c.Write([]byte("another")) })
@@ -213,10 +218,12 @@
 	soon := func() (context.Context, context.CancelFunc) {
 		return context.WithTimeout(context.Background(), 5*ms)
 	}
-	left := func() (context.Context, context.CancelFunc) {
-		ctx, stop := context.WithCancel(context.Background())
-		time.AfterFunc(ms+ms/2, stop) // it has come up there, not yet here
-		return ctx, stop
+	left := func(after time.Duration) func() (context.Context, context.CancelFunc) {
+		return func() (context.Context, context.CancelFunc) {
+			ctx, stop := context.WithCancel(context.Background())
+			time.AfterFunc(after, stop)
+			return ctx, stop
+		}
 	}
 	tests := []struct {
 		name, to string
@@ -225,13 +232,15 @@
 		timeout  bool
 		took     time.Duration
 		heard    error // by the peer
+		open     int   // at 2.5 ms
 	}{
-		{"taken", "p1:90", soon, nil, false, 2 * ms, link.EOF},
-		{"nobody listens", "p1:91", soon, syscall.ECONNREFUSED, false, 2 * ms, nil},
-		{"no machine", "p9:90", soon, syscall.ECONNREFUSED, false, 2 * ms, nil},
-		{"vanished", "gone:90", soon, context.DeadlineExceeded, true, 5 * ms, nil},
-		{"called off", "p1:90", left, context.Canceled, false, ms + ms/2, link.Reset},
-		{"killed", "gone:90", always, net.ErrClosed, false, 500 * ms, nil},
+		{"taken", "p1:90", soon, nil, false, 2 * ms, link.EOF, 1},
+		{"nobody listens", "p1:91", soon, syscall.ECONNREFUSED, false, 2 * ms, nil, 0},
+		{"no machine", "p9:90", soon, syscall.ECONNREFUSED, false, 2 * ms, nil, 0},
+		{"vanished", "gone:90", soon, context.DeadlineExceeded, true, 5 * ms, nil, 1},
+		{"called off", "p1:90", left(ms / 2), context.Canceled, false, ms / 2, link.Reset, 1},
+		{"up at one side", "p1:90", left(ms + ms/2), context.Canceled, false, ms + ms/2, link.Reset, 1},
+		{"killed", "gone:90", always, net.ErrClosed, false, 500 * ms, nil, 1},
 	}
 	for _, test := range tests {
 		e := &ear{end: link.Conn.Close}
@@ -239,6 +248,11 @@
 			l.listen("p1:90", e)
 			l.Vanish("gone")
 			l.at(500*ms, func() { l.Kill("n1") })
+			l.at(2*ms+ms/2, func() {
+				if l.Open() != test.open {
+					t.Errorf("%s: %v are open, want %d", test.name, l.List(), test.open)
+				}
+			})
 			h := l.Host("n1")
 			go func() {
 				ctx, stop := test.ctx()
@@ -438,11 +452,17 @@
 			l.listen("p2:90", e)
 			for i := range 8 {
 				l.ask(fmt.Sprintf("p%d:90", 1+i%2), func(p *port) {
-					time.Sleep(50*ms - time.Duration(l.loop.Now())) // all at the same instant
-					go io.Copy(io.Discard, p)
-					for range 5 {
+					time.Sleep(50*ms - l.loop.Now()) // all at the same instant
+					read := make(chan bool, 99)
+					go func() {
+						for n := 1; n > 0; { // each answer by several reads
+							n, _ = p.Read(make([]byte, 2))
+							read <- true
+						}
+					}()
+					for range 9 {
 						p.Write([]byte("request"))
-						time.Sleep(10 * ms)
+						<-read
 					}
 				})
 			}
--- a/internal/lab/network/pipe.go
+++ b/internal/lab/network/pipe.go
@@ -25,7 +25,7 @@
 // parcel is what travels in one go.
 type parcel struct {
 	kind  kind
-	at    time.Duration // when it arrives, at the earliest
+	at    time.Duration // when it arrives, unless one before it comes later
 	bytes []byte
 	err   error // of rst: what the world hears
 }
@@ -39,7 +39,6 @@
 	head  int      // those before it have arrived
 	next  *loop.Event
 	turn  func()        // arrive, as a value made once
-	last  time.Duration // when the last of the queue arrives
 	busy  time.Duration // until when the bytes before are being sent, where the rate is bounded
 	stuck bool          // a partition holds the queue up
 	since time.Duration // when it began to
@@ -81,8 +80,6 @@
 }
 
 func (p *pipe) append(x parcel) {
-	x.at = max(x.at, p.last)
-	p.last = x.at
 	p.flying += len(x.bytes)
 	p.queue = append(p.queue, x)
 	p.arm()
