http1: take no lone CR or LF, no signed length, no chunk without its end

The parser of the lab's own ends was laxer than it says: a lone CR or LF hid a field, a fragment or an absolute target passed, a length could have a sign, what stands behind a chunk was not looked at, 101 was passed over, and whether a long head was an error hung on where the bytes were cut. Each is an error now, whole or in pieces.

--- a/internal/lab/http1/http1.go
+++ b/internal/lab/http1/http1.go
@@ -24,7 +24,8 @@
 // Field is one line of a head. Names keep the form that came.
 type Field struct{ Name, Value string }
 
-// Get returns the only value of a field, by any case; n is how many there are.
+// Get returns a field's value, by any case, the last one if there are more; n is
+// how many there are.
 func (m *Message) Get(name string) (value string, n int) {
 	for _, f := range m.Fields {
 		if strings.EqualFold(f.Name, name) {
@@ -92,14 +93,14 @@
 
 func (p *Parser) parse() (*Message, int, error) {
 	i := bytes.Index(p.buf[p.seen:], []byte("\r\n\r\n"))
-	if i < 0 {
-		if len(p.buf) > maxHead {
-			return nil, 0, errors.New("head: too long")
-		}
+	end := p.seen + i + 4
+	switch {
+	case i < 0 && len(p.buf) >= maxHead, i >= 0 && end > maxHead:
+		return nil, 0, errors.New("head: too long")
+	case i < 0:
 		p.seen = max(len(p.buf)-3, 0)
 		return nil, 0, nil
 	}
-	end := p.seen + i + 4
 	m, err := p.head(string(p.buf[:end-4]))
 	if err != nil {
 		return nil, 0, err
@@ -109,6 +110,8 @@
 	switch {
 	case err != nil:
 		return nil, 0, err
+	case p.answers && (m.Status < 200 || m.Status == 204) && (length >= 0 || chunked):
+		return nil, 0, fmt.Errorf("a body with status %d", m.Status)
 	case p.answers && (m.Status < 200 || m.Status == 204 || m.Status == 304):
 		return m, end, nil
 	case chunked:
@@ -142,11 +145,13 @@
 			return nil, fmt.Errorf("status line: %.80q", first)
 		}
 		var err error
-		if m.Status, err = strconv.Atoi(b); err != nil || m.Status < 100 {
+		m.Status, err = strconv.Atoi(b)
+		// 101 would be the end of HTTP on the connection: nobody here asks for it.
+		if err != nil || m.Status < 100 || m.Status == 101 || m.Status > 599 || !isText(c) {
 			return nil, fmt.Errorf("status line: %.80q", first)
 		}
 	} else {
-		if a == "" || b == "" || c != "HTTP/1.1" {
+		if !isToken(a) || !isTarget(b) || c != "HTTP/1.1" {
 			return nil, fmt.Errorf("request line: %.80q", first)
 		}
 		m.Method, m.Target = a, b
@@ -156,18 +161,40 @@
 			continue
 		}
 		name, value, ok := strings.Cut(line, ":")
-		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+		if !ok || !isToken(name) || !isText(value) {
 			return nil, fmt.Errorf("field: %.80q", line)
 		}
 		value = strings.Trim(value, " \t")
-		if strings.EqualFold(name, "Connection") && strings.EqualFold(value, "close") {
-			m.Last = true
+		if strings.EqualFold(name, "Connection") {
+			for option := range strings.SplitSeq(value, ",") {
+				m.Last = m.Last || strings.EqualFold(strings.Trim(option, " \t"), "close")
+			}
 		}
 		m.Fields = append(m.Fields, Field{name, value})
 	}
 	return m, nil
 }
 
+// isToken reports whether s can be a method or a field's name.
+func isToken(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
+		return r <= ' ' || r >= 0x7f || strings.ContainsRune("\"(),/:;<=>?@[\\]{}", r)
+	})
+}
+
+// isTarget reports whether s can be a request's target: a path and a query.
+func isTarget(s string) bool {
+	return strings.HasPrefix(s, "/") && !strings.ContainsFunc(s, func(r rune) bool {
+		return r <= ' ' || r >= 0x7f || r == '#'
+	})
+}
+
+// isText reports whether s can be a field's value or a reason: a lone CR or LF
+// in one may look like the end of a line to somebody else.
+func isText(s string) bool {
+	return !strings.ContainsFunc(s, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
+}
+
 // framing says how long the body is; -1: nothing says so.
 func (m *Message) framing() (length int, chunked bool, err error) {
 	text, n := m.Get("Content-Length")
@@ -182,31 +209,40 @@
 	case n == 0:
 		return -1, false, nil
 	}
-	length, err = strconv.Atoi(text)
-	if err != nil || length < 0 || length > maxBody {
-		return 0, false, fmt.Errorf("length: %q", text)
+	size, err := strconv.ParseUint(text, 10, 63) // it takes no sign
+	if err != nil || size > maxBody {
+		return 0, false, fmt.Errorf("length: %.80q", text)
 	}
-	return length, false, nil
+	return int(size), false, nil
 }
 
-// unchunk reads a chunked body; n is 0 while it is not whole.
+// maxChunkLine bounds the digits of a chunk's size.
+const maxChunkLine = 8
+
+// unchunk reads a chunked body, without extensions or trailers, which no part
+// of the lab sends; n is 0 while it is not whole.
 func unchunk(b []byte) (body []byte, n int, err error) {
 	for {
-		i := bytes.Index(b[n:], []byte("\r\n"))
-		if i < 0 {
+		line := b[n:min(len(b), n+maxChunkLine+2)]
+		i := bytes.Index(line, []byte("\r\n"))
+		if i < 0 && len(line) < maxChunkLine+2 {
 			return nil, 0, nil
 		}
-		size, err := strconv.ParseUint(string(b[n:n+i]), 16, 32)
-		if err != nil || size > maxBody {
-			return nil, 0, fmt.Errorf("chunk: %.20q", b[n:n+i])
+		size, err := strconv.ParseUint(string(line[:max(i, 0)]), 16, 32)
+		if err != nil || len(body)+int(size) > maxBody {
+			return nil, 0, fmt.Errorf("chunk: %q", line)
 		}
 		n += i + 2
-		if len(b) < n+int(size)+2 {
+		end := n + int(size)
+		if len(b) < end+2 {
 			return nil, 0, nil
 		}
-		body = append(body, b[n:n+int(size)]...)
-		n += int(size) + 2
-		if size == 0 { // no trailer: no part of the lab sends one
+		if string(b[end:end+2]) != "\r\n" {
+			return nil, 0, fmt.Errorf("chunk: no end of line behind it: %q", b[end:end+2])
+		}
+		body = append(body, b[n:end]...)
+		n = end + 2
+		if size == 0 {
 			return body, n, nil
 		}
 	}
