--- a/internal/lab/link/straight/straight.go
+++ b/internal/lab/link/straight/straight.go
@@ -19,6 +19,9 @@
 	takes map[string]*listener
 	count map[string]int // connections dialed, by "from>to"
 	Open  int            // ends of connections that neither were closed nor broke
+
+	// Unread lets every Reset look like one that left bytes unread.
+	Unread bool
 }
 
 // New makes a Fabric with a delay one way.
@@ -206,7 +209,11 @@
 	e.leave()
 	o := e.other
 	if e.up && o.h != nil {
-		e.carry(func() { o.hear(link.Reset) })
+		err := link.Reset
+		if e.f.Unread {
+			err = link.Unread
+		}
+		e.carry(func() { o.hear(err) })
 	}
 }
 
