Send again only the request that is provably unread; answers without length need an EOF

A reset that proves unread bytes proves it for the last request on the connection alone: where two were pipelined, the first may have been read, and an unsafe one must not go out again. A reset in the midst of an answer without a length had let it pass for whole.

--- a/internal/lab/world/client/conn.go
+++ b/internal/lab/world/client/conn.go
@@ -177,32 +177,35 @@
 
 // End implements link.Handler.
 func (k *conn) End(c link.Conn, err error) {
-	k.parser.Close()
-	k.read() // an answer without a length is whole now
-	if k.gone {
-		return
-	}
 	if err == link.EOF {
+		k.parser.Close()
+		k.read() // an answer without a length is whole now
+		if k.gone {
+			return
+		}
 		c.Close()
 	}
-	heard := k.heard
+	unread := -1 // the place of the try that was provably not read: those before it may have been
+	if n := len(k.open) - 1; err == link.Unread && (n > 0 || !k.heard) {
+		unread = n
+	}
+	place := -1
 	k.forget(func(t *try) outcome {
+		place++
 		switch {
-		case err == link.Refused || err == link.TimedOut, !t.sent:
-			return unreached
-		case err == link.Unread && !heard && !t.resent:
+		case place == unread && !t.resent:
 			return again
-		case err == link.Unread && !heard:
+		case place == unread, err == link.Refused, err == link.TimedOut, !t.sent:
 			return unreached
 		}
 		return failed
 	})
 }
 
-// again is no outcome: the node had not read the request, and the client sends
-// it once more, with the same id, on a new connection. That is the platform's
-// rule, and holds for unsafe requests too. Where a connection ended any other
-// way, the node may have read it, and the client must not.
+// again is no outcome: the node had not read the whole request, and the client
+// sends it once more, with the same id, on a new connection. That is the
+// platform's rule, and holds for unsafe requests too. Where a connection ended
+// any other way, the node may have read it, and the client must not.
 const again outcome = -1
 
 // forget takes the connection off the crowd's books, once it is closed.
--- a/internal/lab/world/client/crowd_test.go
+++ b/internal/lab/world/client/crowd_test.go
@@ -219,6 +219,44 @@
 	}
 }
 
+// Of two requests on one connection only the second is provably unread.
+func TestSecondOfTwoUnread(t *testing.T) {
+	run(t, func(l *lab) {
+		first, second := map[string]int{}, map[string]int{}
+		before := map[*nodeConn]bool{}
+		l.nodes[0].raw = func(k *nodeConn, b []byte) {
+			id := string(b[strings.Index(string(b), "Id: ")+4:][:16])
+			if second[id] > 0 {
+				second[id]++
+				k.answer(200, "")
+				return
+			}
+			if before[k] {
+				second[id]++
+				k.Reset()
+				return
+			}
+			before[k] = true
+			first[id]++
+		}
+		l.net.Unread = true
+		got := l.play(l.crowd(world.Clients{Mix: map[string]float64{"confirm": 1}, Pipelined: 1}, 8), 2*time.Second)
+		for id, n := range first {
+			if n != 1 {
+				t.Errorf("%s may have been read, and came %d times", id, n)
+			}
+		}
+		for id, n := range second {
+			if n != 2 {
+				t.Errorf("%s was unread, and came %d times", id, n)
+			}
+		}
+		if len(first) < 10 || len(second) < 10 || got.Served != len(second) || got.Retries != 0 {
+			t.Errorf("%d and %d of %+v", len(first), len(second), got)
+		}
+	})
+}
+
 func TestConnections(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/internal/lab/world/client/front.go
+++ b/internal/lab/world/client/front.go
@@ -184,9 +184,11 @@
 }
 
 // End implements link.Handler.
-func (c *check) End(link.Conn, error) {
-	c.parser.Close()
-	c.read()
+func (c *check) End(_ link.Conn, err error) {
+	if err == link.EOF {
+		c.parser.Close()
+		c.read()
+	}
 	c.done()
 }
 
--- a/internal/lab/world/client/front_test.go
+++ b/internal/lab/world/client/front_test.go
@@ -50,8 +50,16 @@
 		check("another process", "none", "none")
 		l.until(5 * time.Second)
 		check("which is ready", "n1:9000", "n1:9000")
-		l.front.Stop()
+		n1.asked = func() { // it dies as it answers, and the next one never is ready
+			n1.asked = nil
+			l.front.Born("n1")
+			l.loop.After(time.Millisecond, func() { n1.ready = false })
+		}
+		l.front.Born("n1")
 		l.until(6 * time.Second)
+		check("ready a life ago", "none", "none")
+		l.front.Stop()
+		l.until(7 * time.Second)
 		if l.loop.Pending() != 0 || l.net.Open != 0 {
 			t.Errorf("%d events pending, %d ends open after the end", l.loop.Pending(), l.net.Open)
 		}
--- a/internal/lab/world/client/kinds.go
+++ b/internal/lab/world/client/kinds.go
@@ -11,7 +11,7 @@
 // Kind is one way to be a rogue. Whatever it sends must be certain to deserve
 // no service: the judge holds the node to an error (any status from 400 on) or
 // a close, whichever it likes, and to no try. What the platform or RFC 9112
-// leaves to the node belongs to no kind, among it
+// leaves to the node belongs to no kind, but for bare line feeds; among it
 //   - a lawful request with anything behind it: it may be served before the rest is read;
 //   - lawful requests sent at once on one connection;
 //   - one length given twice alike, also as "5, 5";
@@ -165,8 +165,8 @@
 	})},
 	{Name: "odd-target", Why: "target of another form", Within: owed, steps: once(oddTarget)},
 
-	// Lines. Bare line feeds may be read as ends of lines by RFC 9112, but whoever
-	// stands behind may not do so: here they are owed an error.
+	// Lines. RFC 9112 lets a receiver read bare line feeds as ends of lines, but
+	// another behind it may not do so: here they are owed an error.
 	{Name: "folded", Why: "folded line", Within: owed, steps: once(folded)},
 	{Name: "space-colon", Why: "white space before a colon", Within: owed, steps: once(spaceColon)},
 	{Name: "odd-line", Why: "malformed field", Within: owed, steps: once(oddLine)},
--- a/internal/lab/world/client/lab_test.go
+++ b/internal/lab/world/client/lab_test.go
@@ -45,6 +45,7 @@
 	name     string
 	listener link.Listener
 	ready    bool
+	asked    func()                              // called when it is asked whether it is ready
 	serve    func(k *nodeConn, m *http1.Message) // nil: a 200 after 20 ms
 	raw      func(k *nodeConn, b []byte)         // in place of all reading
 	got      []*http1.Message
@@ -103,6 +104,9 @@
 		if m == nil {
 			return
 		}
+		if m.Target == "/health/ready" && k.n.asked != nil {
+			k.n.asked()
+		}
 		switch {
 		case m.Target == "/health/ready" && k.n.ready:
 			k.answer(200, "")
--- a/internal/lab/world/registry/registry_test.go
+++ b/internal/lab/world/registry/registry_test.go
@@ -44,7 +44,8 @@
 
 var conf = world.Discovery{
 	Addr: "reg:80", Spare: "spare:80", Add: figure.Span(4 * time.Second), Notice: figure.Span(2 * time.Second),
-	Silent: figure.Span(8 * time.Second), Each: figure.Span(5 * time.Millisecond), Patience: figure.Span(time.Second),
+	Silent: figure.Span(8 * time.Second), Each: figure.Span(5 * time.Millisecond),
+	Patience: figure.Span(time.Second),
 }
 
 // run plays against a discovery service that lists p1 to p3.
@@ -413,10 +414,18 @@
 		if old := read(l.Known(true)); len(old.Servers) >= 3 || len(old.Servers) == 0 || old.Version >= l.Version() {
 			t.Errorf("at the start, stale: %+v", old)
 		}
+		start := l.Version()
+		l.Draining("p1")
+		l.until(3 * time.Second)
 		l.Stopped("p1")
 		l.until(20 * time.Second)
 		l.Draining("p2")
 		l.until(23 * time.Second)
+		a := l.get("reg:80", fmt.Sprintf("?after=%d", start))
+		l.until(24 * time.Second)
+		if want := "full=false p1:Gone p2:Terminating"; a.says() != want { // of each peer the last change only
+			t.Errorf("told %q, want %q", a.says(), want)
+		}
 		now, old := read(l.Known(false)), read(l.Known(true))
 		if len(now.Servers) != 2 || now.Servers[0].State != terminating {
 			t.Errorf("later: %+v", now)
@@ -445,6 +454,26 @@
 	}
 }
 
+// What a process does on a silent machine cannot show sooner than the silence.
+func TestSilentMachineTellsNothing(t *testing.T) {
+	gone := func(more func(l *lab)) (at time.Duration) {
+		run(t, conf, func(l *lab) {
+			l.Vanished("p1")
+			more(l)
+			l.until(9 * time.Second)
+			if len(l.facts.lines) != 4 {
+				t.Fatalf("it knows %v", l.facts.lines)
+			}
+			at = l.facts.at[3].Round(time.Microsecond)
+		})
+		return at
+	}
+	plain := gone(func(*lab) {})
+	if at := gone(func(l *lab) { l.Draining("p1"); l.Stopped("p1") }); at != plain {
+		t.Errorf("shows at %v, by its silence at %v", at, plain)
+	}
+}
+
 func TestBadInput(t *testing.T) {
 	l := loop.New(nil)
 	f := straight.New(l, way)
