--- /dev/null
+++ b/internal/lab/rules/fact.go
@@ -0,0 +1,93 @@
+package rules
+
+import (
+	"slices"
+	"time"
+)
+
+// PeerStarted implements fact.Witness.
+func (j *Judge) PeerStarted(peer, addr string, cold bool) {
+	now := j.clock()
+	j.at[addr] = peer
+	if delete(j.starts, peer); cold {
+		j.starts[peer] = &start{at: now}
+	}
+}
+
+// PeerStopped implements fact.Witness.
+func (j *Judge) PeerStopped(peer string) {
+	j.clock()
+	delete(j.starts, peer)
+}
+
+// PeerWork implements fact.Witness.
+func (j *Judge) PeerWork(peer, call string, work, capacity float64) {
+	j.clock()
+	j.work(peer, call, work, capacity)
+}
+
+// Listed implements fact.Witness.
+func (j *Judge) Listed(version int64, peer, addr, state string, started time.Duration) {
+	j.book.put(listing{version: version, name: peer, addr: addr, state: state, started: started, at: j.clock()})
+}
+
+// Bad implements fact.Witness.
+func (j *Judge) Bad(id, why string, within time.Duration) {
+	j.clock()
+	m := badMark{why, within}
+	if k := j.conns[id]; k == nil {
+		j.bad[id] = m
+	} else if k.client != nil {
+		k.client.mark(m)
+	}
+}
+
+// NodeStarted implements fact.Witness.
+func (j *Judge) NodeStarted(name string, version int64) {
+	j.clock()
+	n := j.nodes[name]
+	if n == nil {
+		return
+	}
+	if n.alive {
+		j.end(n)
+	}
+	n.alive = true
+	j.begin(n, version)
+}
+
+// NodeKilled implements fact.Witness.
+func (j *Judge) NodeKilled(name string) {
+	j.clock()
+	if n := j.nodes[name]; n != nil {
+		j.end(n)
+	}
+}
+
+// end ends a node's life.
+func (j *Judge) end(n *node) {
+	var some []*conn
+	for k := range n.conns {
+		some = append(some, k)
+	}
+	slices.SortFunc(some, byID)
+	for _, k := range some {
+		k.killed(j.now)
+	}
+	n.reset()
+}
+
+// NodeTold implements fact.Witness.
+func (j *Judge) NodeTold(name, signal, discovery string) {
+	now := j.clock()
+	n := j.nodes[name]
+	if n == nil {
+		return
+	}
+	switch signal {
+	case "SIGTERM":
+		n.term = max(now, 1)
+	case "SIGHUP":
+		j.moved(n, discovery)
+	}
+}
--- /dev/null
+++ b/internal/lab/rules/rules_test.go
@@ -0,0 +1,615 @@
+package rules
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"olivebridge/internal/lab/figure"
+	"olivebridge/internal/lab/link"
+	"olivebridge/internal/lab/world"
+)
+
+const ms = time.Millisecond
+
+// scene plays crossings and facts by hand. A call "a" comes on the connection
+// "a"; its tries go on "a1", "a2", …; "d" is one to discovery. Each step takes
+// a millisecond.
+type scene struct {
+	j    *Judge
+	now  time.Duration
+	ends map[string][2]string // connections that were opened: from, to
+}
+
+func newScene(change func(*world.Contract)) *scene {
+	c := world.Contract{
+		DrainGrace: figure.Span(2500 * ms), ColdShare: 0.14, Cold: figure.Span(23 * time.Second), Overload: 2.5,
+		Fall: figure.Span(3 * time.Second), AskEvery: figure.Span(10 * time.Second), TryLimit: 3, Probes: true,
+		SecondCopies: true,
+	}
+	if change != nil {
+		change(&c)
+	}
+	s := &scene{ends: map[string][2]string{}}
+	s.j = New(Config{
+		Contract: c,
+		Classes: []world.Class{
+			{Name: "quote", Safe: true, Work: figure.Span(40 * ms), Deadline: figure.Span(600 * ms)},
+			{Name: "book", Work: figure.Span(50 * ms), Deadline: figure.Span(1500 * ms)},
+		},
+		Nodes: []string{"n1"}, Discovery: []string{"d:1", "e:1"},
+		Peers: map[string]string{"p1:9": "p1", "p2:9": "p2"},
+		Now:   func() time.Duration { return s.now },
+	})
+	s.j.Listed(1, "p1", "p1:9", ready, 0)
+	s.j.Listed(2, "p2", "p2:9", ready, 0)
+	s.j.NodeStarted("n1", 2)
+	return s
+}
+
+func (s *scene) pass(d time.Duration) {
+	s.now += d
+	s.j.Tick(s.now)
+}
+
+func (s *scene) cross(w link.What, conn string, back bool, data, note string) {
+	e := s.ends[conn]
+	s.j.See(link.Crossing{
+		At: s.now, What: w, Conn: conn, From: e[0], To: e[1], Back: back, Data: []byte(data), Note: note,
+	})
+	s.pass(ms)
+}
+
+func (s *scene) open(conn, from, to string) {
+	if _, known := s.ends[conn]; !known {
+		s.ends[conn] = [2]string{from, to}
+		s.cross(link.Dial, conn, false, "", "")
+		s.cross(link.Open, conn, false, "", "")
+	}
+}
+
+// send lets bytes be sent, come, and be read.
+func (s *scene) send(conn string, back bool, data string) {
+	s.cross(link.Sent, conn, back, data, "")
+	s.cross(link.Arrived, conn, back, data, "")
+	s.cross(link.Read, conn, back, data, "")
+}
+
+// wire is a call's bytes: "quote" is read, "book" has a body.
+func wire(id, class string) string {
+	head := "X-Call-Id: " + id + "\r\nX-Call-Class: " + class + "\r\nX-Budget: 0.500\r\n"
+	if class == "book" {
+		return "POST /api?user=7 HTTP/1.1\r\n" + head + "Content-Length: 4\r\n\r\nbody"
+	}
+	return "GET /api?user=7 HTTP/1.1\r\n" + head + "\r\n"
+}
+
+// answer is "200 body", or "503! body" for one that was turned away unseen.
+func answer(text string) string {
+	status, body, _ := strings.Cut(text, " ")
+	field := ""
+	if plain, ok := strings.CutSuffix(status, "!"); ok {
+		status, field = plain, "X-Rejected: 1\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %s Word\r\n%sContent-Length: %d\r\n\r\n%s", status, field, len(body), body)
+}
+
+func (s *scene) ask(id, class string) {
+	s.open(id, "c1", "n1:9000")
+	s.send(id, false, wire(id, class))
+}
+func (s *scene) answer(id, text string) { s.send(id, true, answer(text)) }
+func (s *scene) try(conn, class string) { s.tryAt(conn, "p1", class) }
+func (s *scene) tryAt(conn, peer, class string) {
+	s.open(conn, "n1", peer+":9")
+	s.send(conn, false, wire(conn[:1], class))
+}
+func (s *scene) serve(id, class string) {
+	s.ask(id, class)
+	s.try(id+"1", class)
+	s.reply(id+"1", "200 "+id)
+	s.answer(id, "200 "+id)
+}
+func (s *scene) reply(conn, text string) { s.send(conn, true, answer(text)) }
+func (s *scene) end(conn string, back bool, note string) {
+	s.cross(link.Shut, conn, back, "", note)
+}
+
+// call lets the node call discovery.
+func (s *scene) call(conn, query string) {
+	s.open(conn, "n1", "d:1")
+	s.send(conn, false, "GET /registry/instances"+query+" HTTP/1.1\r\nHost: d\r\n\r\n")
+}
+
+// listed is discovery's answer, of "p1=Ready" and the like; a start is put behind a state.
+func listed(version int, full bool, some ...string) string {
+	var all []string
+	for _, e := range some {
+		name, state, _ := strings.Cut(e, "=")
+		state, started, _ := strings.Cut(state+"@0", "@")
+		started, _, _ = strings.Cut(started, "@")
+		all = append(all, fmt.Sprintf(`{"id":%q,"addr":"%[1]s:9","state":%q,"started_ms":%s}`, name, state, started))
+	}
+	servers := strings.Join(all, ",")
+	return answer(fmt.Sprintf(`200 {"version":%d,"full":%v,"servers":[%s]}`, version, full, servers))
+}
+
+// leave lets discovery know that p1 leaves, and tell it to the node.
+func (s *scene) leave() {
+	s.j.Listed(3, "p1", "p1:9", terminating, 0)
+	s.call("d", "?after=2&wait_ms=2000")
+	s.send("d", true, listed(3, false, "p1=Terminating"))
+}
+
+// cold lets a cold start of p1 be listed, and told if knows, and n calls of 0.1 s of work reach it.
+func (s *scene) cold(knows bool, n int) {
+	s.pass(time.Second)
+	s.j.PeerStarted("p1", "p1:9", true)
+	s.j.Listed(3, "p1", "p1:9", ready, s.now)
+	s.pass(ms)
+	if knows {
+		s.call("d", "")
+		s.send("d", true, listed(3, true, "p1=Ready@7", "p2=Ready"))
+	}
+	for i := range n {
+		id := string(rune('A' + i))
+		s.ask(id, "quote")
+		s.try(id+"1", "quote")
+		s.j.PeerWork("p1", id, 0.1, 0.14)
+		s.reply(id+"1", "200 "+id)
+		s.answer(id, "200 "+id)
+		s.pass(50 * ms)
+	}
+}
+
+func noCopies(c *world.Contract)    { c.SecondCopies = false }
+func noProbes(c *world.Contract)    { c.Probes = false }
+func droppedStay(c *world.Contract) { c.DroppedStay = true }
+
+// Each case that breaks a rule stands before the nearest that does not.
+var cases = []struct {
+	name, rule string // "": lawful
+	change     func(*world.Contract)
+	play       func(s *scene)
+}{
+	{"served", "", nil, func(s *scene) { s.serve("a", "quote"); s.serve("b", "book") }},
+
+	{"read, and closed", Lost, nil, func(s *scene) { s.ask("a", "quote"); s.end("a", true, "") }},
+	{"read, half an answer, and closed", Lost, nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.send("a", true, answer("200 long")[:40])
+		s.end("a", true, "")
+	}},
+	{"half an answer, as from the peer", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+		s.send("a1", true, answer("200 long")[:40])
+		s.cross(link.Broke, "a1", false, "", "")
+		s.send("a", true, answer("200 long")[:40])
+		s.end("a", true, "")
+	}},
+	{"closed unread", "", nil, func(s *scene) {
+		s.open("a", "c1", "n1:9000")
+		s.cross(link.Sent, "a", false, wire("a", "quote"), "")
+		s.cross(link.Arrived, "a", false, wire("a", "quote"), "")
+		s.end("a", true, "unread")
+	}},
+	{"client left first", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.end("a", false, "")
+		s.end("a", true, "")
+	}},
+	{"reset on the way", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.cross(link.Broke, "a", true, "", "reset")
+	}},
+	{"never came", "", nil, func(s *scene) {
+		s.open("a", "c1", "n1:9000")
+		s.cross(link.Sent, "a", false, wire("a", "quote"), "")
+		s.pass(time.Second)
+	}},
+	{"killed", "", nil, func(s *scene) { s.ask("a", "quote"); s.j.NodeKilled("n1"); s.pass(time.Second) }},
+	{"closed and killed at one instant", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.j.See(link.Crossing{At: s.now, What: link.Shut, Conn: "a", Back: true})
+		s.j.NodeKilled("n1")
+	}},
+	{"late after SIGTERM, and killed", Lost, nil, func(s *scene) {
+		s.j.NodeTold("n1", "SIGTERM", "")
+		s.pass(2300 * ms)
+		s.ask("a", "quote")
+		s.j.NodeKilled("n1")
+	}},
+	{"soon after SIGTERM, and killed", "", nil, func(s *scene) {
+		s.j.NodeTold("n1", "SIGTERM", "")
+		s.pass(700 * ms)
+		s.ask("a", "quote")
+		s.j.NodeKilled("n1")
+	}},
+	{"open at the end", Lost, nil, func(s *scene) { s.ask("a", "quote"); s.j.Finish(s.now) }},
+	{"close announced, and the next read along", "", nil, func(s *scene) {
+		s.open("a", "c1", "n1:9000")
+		s.send("a", false, wire("a", "quote")+wire("b", "quote"))
+		s.send("a", true, "HTTP/1.1 502 Bad\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		s.end("a", true, "")
+	}},
+
+	{"no answer in time", Late, nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.pass(550 * ms)
+		s.answer("a", "504 ")
+	}},
+	{"just in time", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.pass(546 * ms)
+		s.answer("a", "504 ")
+	}},
+	{"the way took long", "", nil, func(s *scene) {
+		s.open("a", "c1", "n1:9000")
+		s.cross(link.Sent, "a", false, wire("a", "quote"), "")
+		s.pass(200 * ms)
+		s.cross(link.Arrived, "a", false, wire("a", "quote"), "")
+		s.pass(510 * ms)
+		s.answer("a", "504 ")
+	}},
+	{"behind another", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.send("a", false, wire("b", "quote"))
+		s.pass(400 * ms)
+		s.answer("a", "502 ")
+		s.pass(400 * ms)
+		s.answer("a", "502 ")
+	}},
+
+	{"two answers", Twice, nil, func(s *scene) { s.serve("a", "quote"); s.answer("a", "200 a") }},
+	{"bytes behind the answer", Twice, nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.answer("a", "502 ")
+		s.send("a", true, "x")
+	}},
+	{"ahead of the request's coming", Twice, nil, func(s *scene) {
+		s.serve("a", "quote")
+		s.cross(link.Sent, "a", false, wire("b", "quote"), "")
+		s.answer("a", "502 ")
+	}},
+	{"one each, and 100 ahead", "", nil, func(s *scene) {
+		s.serve("a", "quote")
+		s.send("a", false, wire("b", "quote"))
+		s.send("a", true, "HTTP/1.1 100 Continue\r\n\r\n"+answer("502 "))
+	}},
+
+	{"other bytes", Wrong, nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+		s.reply("a1", "200 abc")
+		s.answer("a", "200 abd")
+	}},
+	{"bytes of a 500", Wrong, nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+		s.reply("a1", "500 abc")
+		s.answer("a", "200 abc")
+	}},
+	{"surplus of an earlier answer", Wrong, nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+		s.send("a1", true, answer("200 a")+answer("200 more"))
+		s.answer("a", "200 a")
+		s.ask("b", "quote")
+		s.send("a1", false, wire("b", "quote"))
+		s.answer("b", "200 more")
+	}},
+	{"two lengths", Wrong, nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+		s.send("a1", true, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na")
+		s.answer("a", "200 a")
+	}},
+	{"the same in chunks and pieces, 1xx ahead", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+		text := "HTTP/1.1 103 Hint\r\n\r\n" +
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x\r\nc\r\n0\r\n\r\n"
+		for part := range slices.Chunk([]byte(text), 3) {
+			s.send("a1", true, string(part))
+		}
+		s.answer("a", "200 abc")
+	}},
+
+	{"resent, may have run", Effect, nil, func(s *scene) {
+		s.ask("a", "book")
+		s.try("a1", "book")
+		s.cross(link.Broke, "a1", false, "", "reset")
+		s.tryAt("a2", "p2", "book")
+	}},
+	{"resent after a 503 without proof", Effect, nil, func(s *scene) {
+		s.ask("a", "book")
+		s.try("a1", "book")
+		s.reply("a1", "503 ")
+		s.try("a2", "book")
+	}},
+	{"resent, the proof still on its way", Effect, nil, func(s *scene) {
+		s.ask("a", "book")
+		s.try("a1", "book")
+		s.cross(link.Sent, "a1", true, answer("503! "), "")
+		s.try("a2", "book")
+	}},
+	{"resent, never ran", "", nil, func(s *scene) {
+		s.ask("a", "book")
+		s.try("a1", "book")
+		s.reply("a1", "503! ")
+		s.open("a2", "n1", "p2:9")
+		s.cross(link.Sent, "a2", false, wire("a", "book")[:99], "")
+		s.cross(link.Broke, "a2", false, "", "reset")
+		s.try("a3", "book")
+	}},
+	{"refused, may have run", Effect, nil, func(s *scene) {
+		s.ask("a", "book")
+		s.try("a1", "book")
+		s.answer("a", "503 ")
+	}},
+	{"failed, may have run", "", nil, func(s *scene) {
+		s.ask("a", "book")
+		s.try("a1", "book")
+		s.answer("a", "502 ")
+	}},
+	{"refused, safe to repeat", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+		s.answer("a", "429 ")
+	}},
+	{"a second copy", Effect, noCopies, func(s *scene) {
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+		s.try("a2", "quote")
+	}},
+	{"a second copy, allowed", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+		s.try("a2", "quote")
+	}},
+	{"one given up for another", "", noCopies, func(s *scene) {
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+		s.open("a2", "n1", "p2:9")
+		s.j.See(link.Crossing{At: s.now, What: link.Sent, Conn: "a2", Data: []byte(wire("a", "quote"))})
+		s.end("a1", false, "")
+	}},
+	{"four tries of three", Effect, nil, func(s *scene) {
+		s.ask("a", "quote")
+		for i := range 4 {
+			s.try(fmt.Sprint("a", i), "quote")
+		}
+	}},
+
+	{"nobody asked", Hidden, nil, func(s *scene) { s.try("a1", "quote") }},
+	{"another body", Hidden, nil, func(s *scene) {
+		s.ask("a", "book")
+		s.open("a1", "n1", "p1:9")
+		s.send("a1", false, strings.Replace(wire("a", "book"), "body", "bodz", 1))
+	}},
+	{"begun before it was taken", Hidden, nil, func(s *scene) {
+		s.open("a", "c1", "n1:9000")
+		s.send("a", false, wire("a", "book")[:100])
+		s.try("a1", "book")
+	}},
+	{"after the answer", Hidden, nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.answer("a", "502 ")
+		s.try("a1", "quote")
+	}},
+	{"after the client's going came", Hidden, nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.end("a", false, "")
+		s.cross(link.Arrived, "a", false, "", "fin")
+		s.pass(60 * ms)
+		s.try("a1", "quote")
+	}},
+	{"as the client goes", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.end("a", false, "")
+		s.try("a1", "quote")
+	}},
+	{"without an id", Hidden, nil, func(s *scene) {
+		s.open("a1", "n1", "p1:9")
+		s.send("a1", false, "GET /api HTTP/1.1\r\n\r\n")
+	}},
+	{"a probe", "", nil, func(s *scene) {
+		s.open("a1", "n1", "p1:9")
+		s.send("a1", false, "GET /health/live HTTP/1.1\r\n\r\n")
+	}},
+	{"a probe, not allowed", Hidden, noProbes, func(s *scene) {
+		s.open("a1", "n1", "p1:9")
+		s.send("a1", false, "GET /health/live HTTP/1.1\r\n\r\n")
+	}},
+
+	{"to one that leaves", Drain, nil, func(s *scene) {
+		s.leave()
+		s.pass(2550 * ms)
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+	}},
+	{"within the grace", "", nil, func(s *scene) {
+		s.leave()
+		s.pass(2540 * ms)
+		s.ask("a", "quote")
+		s.try("a1", "quote")
+	}},
+	{"begun within the grace", "", nil, func(s *scene) {
+		s.leave()
+		s.pass(2500 * ms)
+		s.ask("a", "quote")
+		s.open("a1", "n1", "p1:9")
+		s.send("a1", false, "G")
+		s.pass(100 * ms)
+		s.send("a1", false, wire("a", "quote")[1:])
+	}},
+	{"ready again", "", nil, func(s *scene) {
+		s.leave()
+		s.j.Listed(4, "p1", "p1:9", ready, s.now)
+		s.send("d", false, "GET /registry/instances?after=3&wait_ms=9 HTTP/1.1\r\n\r\n")
+		s.send("d", true, listed(4, false, "p1=Ready"))
+		s.pass(4 * time.Second)
+		s.serve("a", "quote")
+	}},
+	{"not in the whole list", Drain, nil, func(s *scene) {
+		s.call("d", "")
+		s.send("d", true, listed(9, true, "p2=Ready"))
+		s.pass(2600 * ms)
+		s.serve("a", "quote")
+	}},
+	{"gone alone does not bind", "", droppedStay, func(s *scene) {
+		s.call("d", "")
+		s.send("d", true, listed(9, true, "p2=Ready"))
+		s.pass(2600 * ms)
+		s.serve("a", "quote")
+	}},
+	{"the answer never came", Drain, nil, func(s *scene) {
+		s.j.Listed(3, "p1", "p1:9", gone, 0)
+		s.call("d", "?after=2&wait_ms=2000")
+		s.end("d", false, "") // the node gives up
+		s.end("d", true, "")
+		s.pass(6555 * ms)
+		s.serve("a", "quote")
+	}},
+	{"the answer never came, in the grace", "", nil, func(s *scene) {
+		s.j.Listed(3, "p1", "p1:9", gone, 0)
+		s.call("d", "?after=2&wait_ms=2000")
+		s.pass(6530 * ms)
+		s.serve("a", "quote")
+	}},
+	{"the call broke", "", nil, func(s *scene) {
+		s.j.Listed(3, "p1", "p1:9", gone, 0)
+		s.call("d", "?after=2&wait_ms=2000")
+		s.cross(link.Broke, "d", false, "", "reset")
+		s.pass(8 * time.Second)
+		s.serve("a", "quote")
+	}},
+	{"never asked", Drain, nil, func(s *scene) {
+		s.j.Listed(3, "p1", "p1:9", gone, 0)
+		s.pass(12551 * ms)
+		s.serve("a", "quote")
+	}},
+	{"asked, and failed", "", nil, func(s *scene) {
+		s.call("d", "")
+		s.send("d", true, answer("503 "))
+		s.j.Listed(3, "p1", "p1:9", gone, 0)
+		s.pass(40 * time.Second)
+		s.serve("a", "quote")
+	}},
+	{"moved", Drain, nil, func(s *scene) {
+		s.call("d", "")
+		s.send("d", true, listed(2, true, "p1=Ready", "p2=Ready"))
+		s.j.NodeTold("n1", "SIGHUP", "e:1")
+		s.j.Listed(1500, "p1", "p1:9", gone, 0)
+		s.send("d", false, "GET /registry/instances HTTP/1.1\r\n\r\n")
+		s.send("d", true, listed(1400, true, "p1=Ready", "p2=Ready")) // of the old one
+		s.pass(6550 * ms)
+		s.serve("a", "quote")
+	}},
+	{"reloaded, not moved", "", nil, func(s *scene) {
+		s.call("d", "")
+		s.send("d", true, listed(2, true, "p1=Ready", "p2=Ready"))
+		s.j.NodeTold("n1", "SIGHUP", "d:1")
+		s.j.Listed(3, "p1", "p1:9", gone, 0)
+		s.pass(6550 * ms)
+		s.serve("a", "quote")
+	}},
+	{"started with a list that has it gone", Drain, nil, func(s *scene) {
+		s.j.Listed(3, "p1", "p1:9", gone, 0)
+		s.j.NodeKilled("n1")
+		s.j.NodeStarted("n1", 3)
+		s.pass(2550 * ms)
+		s.serve("a", "quote")
+	}},
+	{"started with an older list", "", nil, func(s *scene) {
+		s.leave()
+		s.j.NodeKilled("n1")
+		s.j.NodeStarted("n1", 2)
+		s.pass(2550 * ms)
+		s.serve("a", "quote")
+	}},
+
+	{"pushed", Cold, nil, func(s *scene) { s.cold(true, 12) }},
+	{"warmed", "", nil, func(s *scene) { s.cold(true, 11) }},
+	{"pushed unknowingly", "", nil, func(s *scene) { s.cold(false, 12) }},
+
+	{"bad, and served", Bad, nil, func(s *scene) {
+		s.open("a", "c1", "n1:9000")
+		s.j.Bad("a", "noise", 3*time.Second)
+		s.send("a", false, "noise\r\n")
+		s.answer("a", "200 ")
+	}},
+	{"bad, and tried", Bad, nil, func(s *scene) {
+		s.j.Bad("a", "class", 3*time.Second)
+		s.ask("a", "nonsense")
+		s.try("a1", "nonsense")
+	}},
+	{"bad, and nothing comes of it", Bad, nil, func(s *scene) {
+		s.j.Bad("a", "silence", 3*time.Second)
+		s.open("a", "c1", "n1:9000")
+		s.pass(3051 * ms)
+	}},
+	{"bad, and an error", "", nil, func(s *scene) {
+		s.j.Bad("a", "class", 3*time.Second)
+		s.ask("a", "nonsense")
+		s.answer("a", "400 ")
+		s.pass(4 * time.Second)
+	}},
+	{"bad, and a close", "", nil, func(s *scene) {
+		s.serve("a", "quote")
+		s.j.Bad("a", "noise", 3*time.Second)
+		s.send("a", false, "noise\r\n")
+		s.pass(3 * time.Second)
+		s.end("a", true, "unread")
+		s.pass(time.Second)
+	}},
+}
+
+func TestRules(t *testing.T) {
+	broken := map[string]bool{Crash: true, Rest: true}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScene(c.change)
+			c.play(s)
+			s.pass(2 * time.Millisecond)
+			v := s.j.Violations()
+			switch {
+			case c.rule == "" && len(v) > 0:
+				t.Errorf("lawful, and judged: %v", v)
+			case c.rule != "" && (len(v) != 1 || v[0].Rule != c.rule):
+				t.Errorf("got %v, want one of %q", v, c.rule)
+			}
+		})
+		broken[c.rule] = true
+	}
+	for _, name := range Names() {
+		if !broken[name] {
+			t.Errorf("no case breaks %q", name)
+		}
+	}
+}
+
+// What is found is bounded, and so is what is held of a long run.
+func TestBounds(t *testing.T) {
+	s := newScene(nil)
+	for i := range 25 {
+		s.try(fmt.Sprint("a", i), "quote")
+	}
+	if v := s.j.Violations(); len(v) != maxFound || s.j.More() != 5 {
+		t.Errorf("%d kept, %d more", len(v), s.j.More())
+	}
+	for i := range 3000 {
+		id := fmt.Sprint("b", i)
+		s.ask(id, "quote")
+		s.answer(id, "502 ")
+		s.end(id, true, "")
+	}
+	s.pass(time.Minute)
+	n := s.j.nodes["n1"]
+	if len(n.calls) > 25 || len(n.conns) > 25 || len(s.j.dues) > 0 || len(s.j.conns) > 25 {
+		t.Errorf("held: %d calls, %d connections, %d dues", len(n.calls), len(n.conns), len(s.j.dues))
+	}
+}
--- /dev/null
+++ b/internal/lab/rules/scan_test.go
@@ -0,0 +1,153 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"olivebridge/internal/lab/link"
+)
+
+// read is all that a scanner meets in some bytes, cut into pieces of n.
+func read(answers bool, text string, n int) string {
+	s := scanner{answers: answers, keep: true}
+	var met strings.Builder
+	for len(text) > 0 {
+		piece := []byte(text[:min(n, len(text))])
+		text = text[len(piece):]
+		for {
+			n, e := s.next(piece)
+			piece = piece[n:]
+			switch e {
+			case whole:
+				m := s.m
+				fmt.Fprintf(&met, "%s%s%d id=%s %v ", m.method, m.target, m.status, m.id, m.budget)
+				fmt.Fprintf(&met, "%q %t;", m.text, m.last)
+			case spoilt:
+				return met.String() + "spoilt"
+			case none:
+				if n == 0 {
+					goto next
+				}
+			}
+		}
+	next:
+	}
+	if s.end() {
+		fmt.Fprintf(&met, "end %q", s.m.text)
+	} else if s.step != nil {
+		met.WriteString("open")
+	}
+	return met.String()
+}
+
+func TestScanner(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct {
+		name, text, want string
+	}{
+		{"request", "GET /a HTTP/1.1\r\nx-call-ID: 7\r\nX-Budget: 0.5\r\n\r\n", `GET/a0 id=7 500ms "" false;`},
+		{"two", "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b HTTP/1.1\r\n\r\n",
+			`POST/a0 id= 0s "hi" false;GET/b0 id= 0s "" false;`},
+		{"answer", ok + "Connection: x, Close\r\nContent-Length: 2\r\n\r\nhi", `200 id= 0s "hi" true;`},
+		{"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nh\r\n01 ;x\r\ni\r\n0\r\nA: b\r\n\r\n",
+			`200 id= 0s "hi" false;`},
+		{"no body", "HTTP/1.1 304 N\r\nContent-Length: 9\r\n\r\nHTTP/1.1 204 N\r\n\r\n",
+			`304 id= 0s "" false;204 id= 0s "" false;`},
+		{"until the end", ok + "\r\nhi", `end "hi"`},
+		{"short", ok + "Content-Length: 3\r\n\r\nhi", "open"},
+		{"short chunk", ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nhi", "open"},
+		{"two lengths", ok + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nhi", "spoilt"},
+		{"length and coding", ok + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nhi", "spoilt"},
+		{"other coding", ok + "Transfer-Encoding: gzip\r\n\r\nhi", "spoilt"},
+		{"length", ok + "Content-Length: -2\r\n\r\nhi", "spoilt"},
+		{"chunk", ok + "Transfer-Encoding: chunked\r\n\r\nx\r\nhi", "spoilt"},
+		{"chunk's end", ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nhi\r\n", "spoilt"},
+		{"no colon", ok + "Content\r\n\r\n", "spoilt"},
+		{"space ahead of the colon", ok + "A : b\r\n\r\n", "spoilt"},
+		{"bare line feed", "HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n", "spoilt"},
+		{"status", "HTTP/1.1 2x0 OK\r\n\r\n", "spoilt"},
+		{"version", "HTTP/9 200\r\n\r\n", "spoilt"},
+		{"noise", "\x16\x03\x01\r\n", "spoilt"},
+		{"head without end", ok + strings.Repeat("A: b\r\n", 20000), "spoilt"},
+	} {
+		answers := !strings.Contains(c.text[:min(12, len(c.text))], " /")
+		for _, n := range []int{1, 2, 3, 7, 64, len(c.text)} {
+			if got := read(answers, c.text, n); got != c.want {
+				t.Errorf("%s, pieces of %d: got %s, want %s", c.name, n, got, c.want)
+			}
+		}
+	}
+}
+
+// Whatever crosses, the judge goes on.
+func FuzzJudge(f *testing.F) {
+	pieces := []string{
+		wire("a", "quote"), wire("a", "book"), wire("b", "book")[:70], wire("b", "book")[70:],
+		answer("200 a"), answer("503! "), answer("200 a")[:30], answer("200 a")[30:],
+		"HTTP/1.1 200 OK\r\n\r\nx", "HTTP/1.1 100 C\r\n\r\n", "HEAD / HTTP/1.1\r\n\r\n", "\x00\r\n\r\n",
+		"GET /registry/instances?after=1&wait_ms=99 HTTP/1.1\r\n\r\n", listed(7, true, "p1=Gone"), listed(1, false),
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n", "",
+	}
+	conns := [][3]string{
+		{"a", "c1", "n1:9000"}, {"b", "c2", "n1:9000"}, {"a1", "n1", "p1:9"}, {"b1", "n1", "p2:9"}, {"d", "n1", "d:1"}, {"e", "n1", "e:1"}, {"x", "y", "z"},
+	}
+	f.Add([]byte("\x01\x00\x00\x03\x00\x00\x01\x02\x00\x03\x02\x00"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		s := newScene(noCopies)
+		for ; len(in) >= 3; in = in[3:] {
+			k, data := conns[int(in[1])%len(conns)], []byte(nil)
+			if in[2]%32 < byte(len(pieces)) {
+				data = []byte(pieces[in[2]%32])
+			} else {
+				data = in[:min(len(in), int(in[2]))]
+			}
+			s.now += time.Duration(in[2]) * ms
+			switch what := link.What(in[0] % 16); what {
+			default:
+				s.j.See(link.Crossing{
+					At: s.now, What: what % 9, Conn: k[0], From: k[1], To: k[2], Back: in[0] >= 128, Data: data,
+				})
+			case 9:
+				s.j.NodeKilled("n1")
+			case 10:
+				s.j.NodeStarted("n1", int64(in[2]))
+			case 11:
+				s.j.Bad(k[0], "fuzz", time.Second)
+			case 12:
+				s.j.Listed(int64(in[2]), "p1", "p1:9", []string{ready, terminating, gone}[in[1]%3], s.now)
+			case 13:
+				s.j.NodeTold("n1", []string{"SIGTERM", "SIGHUP"}[in[1]%2], "e:1")
+			case 14:
+				s.j.PeerStarted("p1", "p1:9", in[1]%2 == 0)
+			case 15:
+				s.j.PeerWork("p1", "a", 1, 0.1)
+			}
+			s.j.Tick(s.now)
+		}
+		s.j.Finish(s.now + time.Minute)
+		s.j.Violations()
+	})
+}
+
+// One run: 5,000 calls, 60,000 crossings.
+func BenchmarkRun(b *testing.B) {
+	body := strings.Repeat("x", 2000)
+	for b.Loop() {
+		s := newScene(nil)
+		for i := range 5000 {
+			id := fmt.Sprint("a", i)
+			s.open("c"+id[len(id)-1:], "c1", "n1:9000")
+			s.open("p"+id[len(id)-1:], "n1", "p1:9")
+			s.send("c"+id[len(id)-1:], false, wire(id, "quote"))
+			s.send("p"+id[len(id)-1:], false, wire(id, "quote"))
+			s.send("p"+id[len(id)-1:], true, answer("200 "+body))
+			s.send("c"+id[len(id)-1:], true, answer("200 "+body))
+		}
+		s.j.Finish(s.now)
+		if v := s.j.Violations(); len(v) > 0 {
+			b.Fatal(v)
+		}
+	}
+}
