Judge what a planned kill leaves also where the network tells of it first

The network breaks a killed process's connections before the fact is told, which excused what a planned kill must not leave. A break marked as a kill is now judged as one.

--- a/internal/lab/rules/conn.go
+++ b/internal/lab/rules/conn.go
@@ -110,14 +110,21 @@
 		k.finished(f, c.Back)
 		k.forgetAt(c.Back)
 	case link.Broke:
-		k.broke(c.Back)
+		if c.Note == "killed" && k.atNode(c.Back) {
+			k.killed(c.At)
+		} else {
+			k.broke(c.Back)
+		}
 	}
 }
 
+// atNode reports whether a side is the node's.
+func (k *conn) atNode(back bool) bool { return back == (k.kind == fromClient) }
+
 // forgetAt lets the connection go once it is over at its node's side. Until
 // then the node may go on writing to it.
 func (k *conn) forgetAt(back bool) {
-	if back == (k.kind == fromClient) && !k.forgot {
+	if k.atNode(back) && !k.forgot {
 		k.forgot = true
 		k.j.forget(k.j.now, ended{conn: k})
 	}
@@ -227,6 +234,8 @@
 func (k *conn) killed(at time.Duration) {
 	if k.client != nil {
 		k.client.killed(at)
+	} else if k.peer != nil {
+		k.peer.ended(true)
 	}
 	k.broken = true
 	k.forgetAt(k.kind == fromClient)
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -79,11 +79,11 @@
 
 // wire is a call's bytes: "quote" is read, "book" has a body.
 func wire(id, class string) string {
-	head := "X-Call-Id: " + id + "\r\nX-Call-Class: " + class + "\r\nX-Budget: 0.500\r\n"
+	head := "X-Call-Id: " + id + "\r\nX-Call-Class: " + class + "\r\n"
 	if class == "book" {
-		return "POST /api?user=7 HTTP/1.1\r\n" + head + "Content-Length: 4\r\n\r\nbody"
+		return "POST /api?user=7 HTTP/1.1\r\n" + head + "X-Budget: 1.5\r\nContent-Length: 4\r\n\r\nbody"
 	}
-	return "GET /api?user=7 HTTP/1.1\r\n" + head + "\r\n"
+	return "GET /api?user=7 HTTP/1.1\r\n" + head + "X-Budget: 0.500\r\n\r\n"
 }
 
 // answer is "200 body", or "503! body" for one that was turned away unseen.
@@ -130,7 +130,8 @@
 		name, state, _ := strings.Cut(e, "=")
 		state, started, _ := strings.Cut(state+"@0", "@")
 		started, _, _ = strings.Cut(started, "@")
-		all = append(all, fmt.Sprintf(`{"id":%q,"addr":"%[1]s:9","state":%q,"started_ms":%s}`, name, state, started))
+		const form = `{"id":%q,"addr":"%[1]s:9","state":%q,"started_ms":%s}`
+		all = append(all, fmt.Sprintf(form, name, state, started))
 	}
 	servers := strings.Join(all, ",")
 	return answer(fmt.Sprintf(`200 {"version":%d,"full":%v,"servers":[%s]}`, version, full, servers))
@@ -220,14 +221,29 @@
 		s.j.NodeTold("n1", "SIGTERM", "")
 		s.pass(2300 * ms)
 		s.ask("a", "quote")
+		s.cross(link.Broke, "a", true, "", "killed")
 		s.j.NodeKilled("n1")
 	}},
 	{"soon after SIGTERM, and killed", "", nil, func(s *scene) {
 		s.j.NodeTold("n1", "SIGTERM", "")
-		s.pass(700 * ms)
+		s.pass(740 * ms)
+		s.ask("a", "book")
+		s.pass(1460 * ms)
+		s.j.NodeKilled("n1")
+	}},
+	{"late after SIGTERM, and killed before its time", "", nil, func(s *scene) {
+		s.j.NodeTold("n1", "SIGTERM", "")
+		s.pass(time.Second)
 		s.ask("a", "quote")
 		s.j.NodeKilled("n1")
 	}},
+	{"sent as the node closes", "", nil, func(s *scene) {
+		s.serve("a", "quote")
+		s.end("a", true, "")
+		s.cross(link.Sent, "a", false, wire("b", "quote"), "")
+		s.cross(link.Arrived, "a", false, wire("b", "quote"), "")
+		s.pass(time.Second)
+	}},
 	{"open at the end", Lost, nil, func(s *scene) { s.ask("a", "quote"); s.j.Finish(s.now) }},
 	{"close announced, and the next read along", "", nil, func(s *scene) {
 		s.open("a", "c1", "n1:9000")
@@ -301,6 +317,13 @@
 		s.send("a1", false, wire("b", "quote"))
 		s.answer("b", "200 more")
 	}},
+	{"surplus on the way as a try leaves", Wrong, nil, func(s *scene) {
+		s.serve("a", "quote")
+		s.ask("b", "quote")
+		s.cross(link.Sent, "a1", false, wire("b", "quote"), "")
+		s.reply("a1", "200 more")
+		s.answer("b", "200 more")
+	}},
 	{"two lengths", Wrong, nil, func(s *scene) {
 		s.ask("a", "quote")
 		s.try("a1", "quote")
@@ -393,7 +416,16 @@
 	{"begun before it was taken", Hidden, nil, func(s *scene) {
 		s.open("a", "c1", "n1:9000")
 		s.send("a", false, wire("a", "book")[:100])
-		s.try("a1", "book")
+		s.open("a1", "n1", "p1:9")
+		s.send("a1", false, wire("a", "book")[:100])
+		s.send("a", false, wire("a", "book")[100:])
+		s.send("a1", false, wire("a", "book")[100:])
+	}},
+	{"on a connection that is not up", Hidden, nil, func(s *scene) {
+		s.ends["a"] = [2]string{"c1", "n1:9000"}
+		s.cross(link.Dial, "a", false, "", "")
+		s.ask("a", "quote")
+		s.try("a1", "quote")
 	}},
 	{"after the answer", Hidden, nil, func(s *scene) {
 		s.ask("a", "quote")
@@ -487,6 +519,16 @@
 		s.pass(8 * time.Second)
 		s.serve("a", "quote")
 	}},
+	{"told of its return before that counts", "", nil, func(s *scene) {
+		s.j.Listed(3, "p1", "p1:9", gone, 0)
+		s.call("d", "?after=2&wait_ms=2000")
+		s.end("d", false, "")
+		s.j.Listed(4, "p1", "p1:9", ready, s.now)
+		s.call("d2", "?after=2&wait_ms=2000")
+		s.send("d2", true, listed(4, false, "p1=Ready"))
+		s.pass(8 * time.Second)
+		s.serve("a", "quote")
+	}},
 	{"never asked", Drain, nil, func(s *scene) {
 		s.j.Listed(3, "p1", "p1:9", gone, 0)
 		s.pass(12551 * ms)
--- a/internal/lab/rules/scan_test.go
+++ b/internal/lab/rules/scan_test.go
@@ -87,11 +87,13 @@
 		wire("a", "quote"), wire("a", "book"), wire("b", "book")[:70], wire("b", "book")[70:],
 		answer("200 a"), answer("503! "), answer("200 a")[:30], answer("200 a")[30:],
 		"HTTP/1.1 200 OK\r\n\r\nx", "HTTP/1.1 100 C\r\n\r\n", "HEAD / HTTP/1.1\r\n\r\n", "\x00\r\n\r\n",
-		"GET /registry/instances?after=1&wait_ms=99 HTTP/1.1\r\n\r\n", listed(7, true, "p1=Gone"), listed(1, false),
+		"GET /registry/instances?after=1&wait_ms=99 HTTP/1.1\r\n\r\n",
+		listed(7, true, "p1=Gone"), listed(1, false),
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n", "",
 	}
 	conns := [][3]string{
-		{"a", "c1", "n1:9000"}, {"b", "c2", "n1:9000"}, {"a1", "n1", "p1:9"}, {"b1", "n1", "p2:9"}, {"d", "n1", "d:1"}, {"e", "n1", "e:1"}, {"x", "y", "z"},
+		{"a", "c1", "n1:9000"}, {"b", "c2", "n1:9000"}, {"a1", "n1", "p1:9"}, {"b1", "n1", "p2:9"},
+		{"d", "n1", "d:1"}, {"e", "n1", "e:1"}, {"x", "y", "z"},
 	}
 	f.Add([]byte("\x01\x00\x00\x03\x00\x00\x01\x02\x00\x03\x02\x00"))
 	f.Fuzz(func(t *testing.T, in []byte) {
