Add the lab's scripts, scenarios and faults: read, checked, drawn, played, shrunk

Need: a run must be a file that anybody can read, write by hand and play again, and seeds must draw combinations of faults, not single ones; whatever is wrong with a file must be one line with file, line and reason.

Change: package fault reads TOML into a tree that keeps lines, and decodes it strictly (the library's decoder takes a bare 5 for a length of time of 5 ns, one table for a list, and keys in any case).

--- /dev/null
+++ b/internal/lab/fault/draw.go
@@ -0,0 +1,260 @@
+package fault
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"olivebridge/internal/lab/figure"
+	"olivebridge/internal/lab/world"
+)
+
+// Draw makes the script of a seed. The same seed gives the same script; each
+// entity has a stream of its own, so that a range that is changed for one leaves
+// the others as they were. A file holds no seed above 2^63-1: the topmost bit is
+// not used.
+func Draw(seed uint64, sc *Scenario) *Script {
+	seed &= math.MaxInt64
+	d := &drawer{sc: sc, s: &Script{Seed: seed}}
+	d.s.Length = sc.Length.draw(d.stream("length"))
+	d.places()
+	d.contract()
+	d.classes()
+	d.peers()
+	d.demand()
+	d.faults()
+	return d.s
+}
+
+type drawer struct {
+	sc       *Scenario
+	s        *Script
+	mix      []float64 // share of each class, in all
+	work     float64   // mean of a request, in seconds on a core of speed 1
+	capacity float64   // requests a second that all peers can do
+	perCell  int
+}
+
+func (d *drawer) stream(name string) *rand.Rand { return figure.Stream(d.s.Seed, name) }
+
+// places draws zones, nodes, the network and what is met there.
+func (d *drawer) places() {
+	sc, w := d.sc, &d.s.World
+	g := d.stream("zones")
+	w.Zones = append(w.Zones, sc.Zones...)
+	if chance(g, sc.Scale.OneZone) {
+		w.Zones = w.Zones[:1]
+	}
+	g = d.stream("nodes")
+	n, first := sc.Scale.Nodes.draw(g), g.IntN(len(w.Zones))
+	if chance(g, sc.Scale.OneNode) {
+		n = 1
+	}
+	for i := range n {
+		name := fmt.Sprintf("n%d", i+1)
+		g := d.stream("node " + name)
+		w.Nodes = append(w.Nodes, world.Node{Name: name, Zone: w.Zones[(first+i)%len(w.Zones)],
+			MemoryMB: sc.Node.MemoryMB.draw(g), Sockets: sc.Node.Sockets.draw(g), Stale: chance(g, sc.Node.Stale)})
+	}
+	g = d.stream("net")
+	w.Net = world.Net{Same: sc.Net.Same.draw(g), Cross: sc.Net.Cross.draw(g), Client: sc.Net.Client.draw(g),
+		Jitter: sc.Net.Jitter.draw(g), Pieces: sc.Net.Pieces.draw(g)}
+	if chance(g, sc.Net.Bounded) {
+		w.Net.Rate = sc.Net.Rate.draw(g)
+	}
+	g = d.stream("discovery")
+	w.Discovery = world.Discovery{Addr: sc.Discovery.Addr, Spare: sc.Discovery.Spare,
+		Add: sc.Discovery.Add.draw(g), Notice: sc.Discovery.Notice.draw(g), Silent: sc.Discovery.Silent.draw(g), Each: sc.Discovery.Each.draw(g),
+		Patience: sc.Discovery.Patience.draw(g)}
+	g = d.stream("front")
+	w.Front = world.Front{Check: sc.Front.Check.draw(g), Notice: sc.Front.Notice.draw(g)}
+}
+
+func (d *drawer) contract() {
+	c, g := &d.sc.Contract, d.stream("contract")
+	d.s.World.Contract = world.Contract{
+		DrainGrace: c.DrainGrace.draw(g), ColdShare: c.ColdShare.draw(g), Cold: c.Cold.draw(g),
+		Overload: c.Overload.draw(g), Fall: c.Fall.draw(g), AskEvery: c.AskEvery.draw(g),
+		TryLimit: c.TryLimit.draw(g), Probes: chance(g, c.Probes), SecondCopies: chance(g, c.SecondCopies),
+		RetryAfter: chance(g, c.RetryAfter), MaxRetryAfter: c.MaxRetryAfter.draw(g),
+		ConnectTimeout: c.ConnectTimeout.draw(g), IdleClose: c.IdleClose.draw(g), CrossPrice: c.CrossPrice.draw(g),
+		ProbePrice: c.ProbePrice.draw(g), OverShareWorth: c.OverShareWorth.draw(g),
+		DroppedStay: chance(g, c.DroppedStay)}
+}
+
+func (d *drawer) classes() {
+	for i := range d.sc.Classes {
+		k := &d.sc.Classes[i]
+		g := d.stream("class " + k.Name)
+		d.mix = append(d.mix, k.Share.draw(g))
+		d.s.World.Classes = append(d.s.World.Classes, world.Class{Name: k.Name, Safe: k.Safe, Work: k.Work.draw(g),
+			Spread: k.Spread.draw(g), Aim: k.Aim.draw(g), Deadline: k.Deadline.draw(g), Worth: k.Worth.draw(g),
+			Body: k.Body.draw(g), Answer: k.Answer.draw(g)})
+	}
+	d.mix = shares(d.mix)
+	for i, k := range d.s.World.Classes {
+		d.work += d.mix[i] * k.Work.D().Seconds()
+	}
+}
+
+// shares makes numbers add up to 1, three digits each.
+func shares(of []float64) []float64 {
+	sum := 0.0
+	for _, v := range of {
+		sum += v
+	}
+	for i := range of {
+		of[i] = figure.Round(of[i]/sum, 3)
+	}
+	return of
+}
+
+// peers draws the peers, and as many as the demand needs.
+func (d *drawer) peers() {
+	sc, w := d.sc, &d.s.World
+	g := d.stream("peers")
+	n := sc.Scale.Peers.draw(g)
+	d.perCell = sc.Peer.CellSize.draw(g)
+	falls, crowds := chance(g, sc.Peer.Falls), chance(g, sc.Peer.Crowds)
+	for i := range n {
+		p := d.peer(i)
+		if falls {
+			p.FallAt, p.FallIn = w.Contract.Overload, w.Contract.Fall
+		}
+		if !crowds {
+			p.CrowdAt, p.Crowded = 0, 0
+		}
+		w.Peers = append(w.Peers, p)
+		d.capacity += float64(p.Cores) * p.Speed / d.work
+	}
+}
+
+func (d *drawer) peer(i int) world.Peer {
+	sc, w := &d.sc.Peer, &d.s.World
+	name := fmt.Sprintf("p%02d", i+1)
+	g := d.stream("peer " + name)
+	var weights []float64
+	for _, k := range d.sc.PeerKinds {
+		weights = append(weights, k.Share.draw(g))
+	}
+	k := &d.sc.PeerKinds[weighted(g, weights)]
+	zone := w.Zones[g.IntN(len(w.Zones))]
+	if i < len(w.Zones) {
+		zone = w.Zones[i] // none stays empty
+	}
+	cores := k.Cores.draw(g)
+	p := world.Peer{Name: name, Zone: zone, Kind: k.Name, Cores: cores, Speed: k.Speed.draw(g),
+		Weight: figure.Round(float64(cores)*(k.Speed.Lo+k.Speed.Hi)/2, 3),
+		Cell:   (i/len(w.Zones)/d.perCell)*len(w.Zones) + at(w.Zones, zone),
+		Slots:  cores * k.Slots.draw(g), Queue: cores * k.Queue.draw(g),
+		CacheGain: sc.CacheGain.draw(g), CacheFor: sc.CacheFor.draw(g), CacheKeys: cores * sc.CacheKeys.draw(g),
+		PauseEach: k.PauseEach.draw(g), Pause: k.Pause.draw(g), Errors: k.Errors.draw(g),
+		ColdShare: max(k.ColdShare.draw(g), w.Contract.ColdShare), ColdFor: min(k.ColdFor.draw(g), w.Contract.Cold),
+		CrowdAt: sc.CrowdAt.draw(g), Crowded: sc.Crowded.draw(g), Conns: cores * sc.Conns.draw(g),
+		Handshake: sc.Handshake.draw(g), IdleClose: w.Contract.IdleClose}
+	if by := sc.ColdBy.draw(g); chance(g, sc.ByCount) {
+		p.ColdBy = by
+	}
+	p.StopsWork = chance(g, sc.StopsWork)
+	return p
+}
+
+// demand draws the clients, and takes peers away while they would ask too much
+// for a short run.
+func (d *drawer) demand() {
+	sc, w := d.sc, &d.s.World
+	g := d.stream("load")
+	load, over, most := sc.Load.Usual.draw(g), sc.Load.Over.draw(g), sc.Load.MostRate.draw(g)
+	if chance(g, sc.Load.Overload) {
+		load = over
+	}
+	skew := sc.Load.ZoneSkew.draw(g)
+	if chance(g, 0.5) {
+		skew = -skew
+	}
+	waves := chance(g, sc.Clients.Waves)
+	for load*d.capacity > most && len(w.Peers) > max(sc.Scale.Peers.Lo, len(w.Zones)) {
+		p := w.Peers[len(w.Peers)-1]
+		d.capacity -= float64(p.Cores) * p.Speed / d.work
+		w.Peers = w.Peers[:len(w.Peers)-1]
+	}
+	usage := make([]float64, len(sc.Tenants))
+	total := 0.0
+	for i := range sc.Tenants {
+		t := &sc.Tenants[i]
+		g := d.stream("tenant " + t.Name)
+		share, quota := t.Share.draw(g), t.Quota.draw(g)
+		w.Tenants = append(w.Tenants, world.Tenant{Name: t.Name, Share: share,
+			Quota: figure.Round(max(quota*share*d.capacity, 0.1), 3)})
+		usage[i] = share * t.Usage.draw(g)
+		total += usage[i]
+	}
+	for i, t := range w.Tenants {
+		for n, zone := range w.Zones {
+			part := 1 / float64(len(w.Zones))
+			if len(w.Zones) > 1 {
+				part *= 1 + skew*float64(1-2*(n%2)) // evenly spread in all, if the zones are two
+			}
+			rate := load * d.capacity * usage[i] / total * part
+			w.Clients = append(w.Clients, d.crowd(t.Name, zone, rate, waves))
+		}
+	}
+}
+
+func (d *drawer) crowd(tenant, zone string, rate float64, waves bool) world.Clients {
+	sc := &d.sc.Clients
+	name := tenant + "-" + zone
+	g := d.stream("clients " + name)
+	mix := make([]float64, len(d.mix))
+	for i, share := range d.mix {
+		mix[i] = share * (1 + sc.MixSwing.draw(g)*(2*g.Float64()-1))
+	}
+	c := world.Clients{Name: name, Zone: zone, Tenant: tenant, Rate: max(figure.Round(rate, 3), 0.01),
+		Mix:   map[string]float64{},
+		Swing: sc.Swing.draw(g), Period: sc.Period.draw(g), Keys: sc.Keys.draw(g), Zipf: sc.Zipf.draw(g),
+		Retries: sc.Retries.draw(g), Backoff: sc.Backoff.draw(g), Honour: sc.Honour.draw(g),
+		Patience: sc.Patience.draw(g), Leave: sc.Leave.draw(g), Fresh: sc.Fresh.draw(g), Keep: sc.Keep.draw(g),
+		Pipelined: sc.Pipelined.draw(g), Conns: sc.Conns.draw(g), Odd: sc.Odd.draw(g)}
+	for i, share := range shares(mix) {
+		c.Mix[d.s.World.Classes[i].Name] = share
+	}
+	if !waves {
+		c.Swing, c.Period = 0, 0
+	}
+	if chance(g, sc.Keyless) {
+		c.Keys = 0
+	}
+	if !chance(g, sc.Pipelines) {
+		c.Pipelined = 0
+	}
+	return c
+}
+
+// weighted draws a place in a list of weights.
+func weighted(g *rand.Rand, weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	v := g.Float64() * sum
+	last := 0
+	for i, w := range weights {
+		if w <= 0 {
+			continue
+		}
+		if last = i; v < w {
+			break
+		}
+		v -= w
+	}
+	return last
+}
+
+func at(list []string, what string) int {
+	for i, v := range list {
+		if v == what {
+			return i
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/lab/fault/ranges.go
@@ -0,0 +1,74 @@
+package fault
+
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"olivebridge/internal/lab/figure"
+)
+
+// Range is what a figure is drawn from, written [lo, hi]; a single number
+// stands for itself.
+type Range struct{ Lo, Hi float64 }
+
+// Spans is a range of lengths of time, written ["5s", "24s"] or "5s".
+type Spans struct{ Lo, Hi figure.Span }
+
+// Counts is a range of whole numbers, both ends among them.
+type Counts struct{ Lo, Hi int }
+
+var errUpsideDown = errors.New("range upside down")
+
+func (r *Range) from(i *item) error { return pair(i, &r.Lo, &r.Hi, float) }
+
+func (s *Spans) from(i *item) error { return pair(i, &s.Lo, &s.Hi, span) }
+
+func (c *Counts) from(i *item) error {
+	return pair(i, &c.Lo, &c.Hi, func(i *item) (int, error) {
+		n, err := whole(i)
+		return int(n), err
+	})
+}
+
+func pair[T float64 | int | figure.Span](i *item, lo, hi *T, read func(*item) (T, error)) (err error) {
+	if i.kind != unstable.Array {
+		*lo, err = read(i)
+		*hi = *lo
+		return err
+	}
+	if len(i.items) != 2 {
+		return errors.New("a range has two ends")
+	}
+	if *lo, err = read(i.items[0]); err != nil {
+		return err
+	}
+	if *hi, err = read(i.items[1]); err != nil {
+		return err
+	}
+	if *lo > *hi {
+		return errUpsideDown
+	}
+	return nil
+}
+
+func (r Range) draw(g *rand.Rand) float64 {
+	return min(max(figure.Round(figure.Uniform(g, r.Lo, r.Hi), 3), r.Lo), r.Hi)
+}
+
+func (s Spans) draw(g *rand.Rand) figure.Span {
+	lo, hi := s.Lo.D().Seconds(), s.Hi.D().Seconds()
+	return min(max(seconds(figure.Uniform(g, lo, hi)), s.Lo), s.Hi)
+}
+
+func (c Counts) draw(g *rand.Rand) int { return c.Lo + g.IntN(c.Hi-c.Lo+1) }
+
+// seconds makes a length of time that reads well: three digits of it.
+func seconds(s float64) figure.Span {
+	return figure.Span(math.Round(figure.Round(s, 3) * 1e9))
+}
+
+// chance draws whether something with that chance is so.
+func chance(g *rand.Rand, p float64) bool { return g.Float64() < p }
--- /dev/null
+++ b/internal/lab/fault/scenario.go
@@ -0,0 +1,262 @@
+package fault
+
+import (
+	_ "embed"
+	"fmt"
+	"reflect"
+)
+
+// Scenario is what scripts are drawn from: every figure a range. A field's tag
+// "of" names the figure whose limits both its ends keep.
+type Scenario struct {
+	Length    Spans           `toml:"length" of:"length"`
+	Zones     []string        `toml:"zones"`
+	Scale     Scale           `toml:"scale"`
+	Load      LoadRanges      `toml:"load"`
+	Net       NetRanges       `toml:"net"`
+	Contract  ContractRanges  `toml:"contract"`
+	Discovery DiscoveryRanges `toml:"discovery"`
+	Front     FrontRanges     `toml:"front"`
+	Node      NodeRanges      `toml:"node"`
+	Peer      PeerRanges      `toml:"peer"`
+	PeerKinds []PeerKind      `toml:"peer_kind"`
+	Classes   []ClassRanges   `toml:"class"`
+	Tenants   []TenantRanges  `toml:"tenant"`
+	Clients   ClientRanges    `toml:"clients"`
+	Rogues    RogueRanges     `toml:"rogue"`
+	Faults    FaultPlan       `toml:"faults"`
+	Kinds     []KindRanges    `toml:"kind"`
+	Combos    []Combo         `toml:"combo"`
+}
+
+// Scale is how many there are.
+type Scale struct {
+	Peers   Counts  `toml:"peers" of:"scenario.one_or_more"`
+	Nodes   Counts  `toml:"nodes" of:"scenario.one_or_more"`
+	OneZone float64 `toml:"one_zone" of:"scenario.chance"` // share of runs
+	OneNode float64 `toml:"one_node" of:"scenario.chance"`
+}
+
+// LoadRanges is how much they are asked to do.
+type LoadRanges struct {
+	Usual    Range   `toml:"usual" of:"scenario.load"` // of what the peers can do
+	Over     Range   `toml:"over" of:"scenario.load"`
+	Overload float64 `toml:"overload" of:"scenario.chance"` // share of runs that draw from Over
+	MostRate Range   `toml:"most_rate" of:"scenario.rate"`  // a second; a run that would have more has fewer peers
+	ZoneSkew Range   `toml:"zone_skew" of:"scenario.spread"`
+}
+
+// NetRanges draws world.Net.
+type NetRanges struct {
+	Same    Spans   `toml:"same" of:"world.net.same"`
+	Cross   Spans   `toml:"cross" of:"world.net.cross"`
+	Client  Spans   `toml:"client" of:"world.net.client"`
+	Jitter  Range   `toml:"jitter" of:"world.net.jitter"`
+	Bounded float64 `toml:"bounded" of:"scenario.chance"` // share of runs with a rate
+	Rate    Range   `toml:"rate" of:"world.net.rate"`
+	Pieces  Range   `toml:"pieces" of:"world.net.pieces"`
+}
+
+// ContractRanges draws world.Contract. Of what is allowed or not, it holds the
+// share of runs in which it is.
+type ContractRanges struct {
+	DrainGrace     Spans   `toml:"drain_grace" of:"world.contract.drain_grace"`
+	ColdShare      Range   `toml:"cold_share" of:"world.contract.cold_share"`
+	Cold           Spans   `toml:"cold" of:"world.contract.cold"`
+	Overload       Range   `toml:"overload" of:"world.contract.overload"`
+	Fall           Spans   `toml:"fall" of:"world.contract.fall"`
+	AskEvery       Spans   `toml:"ask_every" of:"world.contract.ask_every"`
+	TryLimit       Counts  `toml:"try_limit" of:"world.contract.try_limit"`
+	Probes         float64 `toml:"probes" of:"scenario.chance"`
+	SecondCopies   float64 `toml:"second_copies" of:"scenario.chance"`
+	RetryAfter     float64 `toml:"retry_after" of:"scenario.chance"`
+	MaxRetryAfter  Spans   `toml:"max_retry_after" of:"world.contract.max_retry_after"`
+	ConnectTimeout Spans   `toml:"connect_timeout" of:"world.contract.connect_timeout"`
+	IdleClose      Spans   `toml:"idle_close" of:"world.contract.idle_close"`
+	CrossPrice     Range   `toml:"cross_price" of:"world.contract.cross_price"`
+	ProbePrice     Range   `toml:"probe_price" of:"world.contract.probe_price"`
+	OverShareWorth Range   `toml:"over_share_worth" of:"world.contract.over_share_worth"`
+	DroppedStay    float64 `toml:"dropped_stay" of:"scenario.chance"`
+}
+
+// DiscoveryRanges draws world.Discovery.
+type DiscoveryRanges struct {
+	Addr     string `toml:"addr"`
+	Spare    string `toml:"spare"`
+	Add      Spans  `toml:"add" of:"world.discovery.add"`
+	Notice   Spans  `toml:"notice" of:"world.discovery.notice"`
+	Silent   Spans  `toml:"silent" of:"world.discovery.silent"`
+	Each     Spans  `toml:"each" of:"world.discovery.each"`
+	Patience Spans  `toml:"patience" of:"world.discovery.patience"`
+}
+
+// FrontRanges draws world.Front.
+type FrontRanges struct {
+	Check  Spans `toml:"check" of:"world.front.check"`
+	Notice Spans `toml:"notice" of:"world.front.notice"`
+}
+
+// NodeRanges draws a world.Node.
+type NodeRanges struct {
+	MemoryMB Counts  `toml:"memory_mb" of:"world.node.memory_mb"`
+	Sockets  Counts  `toml:"sockets" of:"world.node.sockets"`
+	Stale    float64 `toml:"stale" of:"scenario.chance"` // share of nodes
+}
+
+// PeerRanges draws what all peers of a run, or peers of any kind, have.
+type PeerRanges struct {
+	CellSize  Counts  `toml:"cell_size" of:"scenario.one_or_more"` // once a run
+	CacheGain Range   `toml:"cache_gain" of:"world.peer.cache_gain"`
+	CacheFor  Spans   `toml:"cache_for" of:"world.peer.cache_for"`
+	CacheKeys Counts  `toml:"cache_keys" of:"scenario.per_core"` // per core
+	ByCount   float64 `toml:"by_count" of:"scenario.chance"`     // share of peers that warm by requests
+	ColdBy    Counts  `toml:"cold_by" of:"world.peer.cold_by"`
+	Falls     float64 `toml:"falls" of:"scenario.chance"` // share of runs in which pushed peers fall over
+	Crowds    float64 `toml:"crowds" of:"scenario.chance"`
+	CrowdAt   Range   `toml:"crowd_at" of:"world.peer.crowd_at"`
+	Crowded   Range   `toml:"crowded" of:"world.peer.crowded"`
+	Conns     Counts  `toml:"conns" of:"world.peer.conns"` // per core
+	Handshake Spans   `toml:"handshake" of:"world.peer.handshake"`
+	StopsWork float64 `toml:"stops_work" of:"scenario.chance"`
+}
+
+// PeerKind draws what peers of a kind have.
+type PeerKind struct {
+	Name      string `toml:"name"`
+	Share     Range  `toml:"share" of:"scenario.weight"`
+	Cores     Counts `toml:"cores" of:"world.peer.cores"`
+	Speed     Range  `toml:"speed" of:"world.peer.speed"`
+	Slots     Counts `toml:"slots" of:"world.peer.slots"` // per core
+	Queue     Counts `toml:"queue" of:"scenario.per_core"`
+	PauseEach Spans  `toml:"pause_each" of:"world.peer.pause_each"`
+	Pause     Spans  `toml:"pause" of:"world.peer.pause"`
+	Errors    Range  `toml:"errors" of:"world.peer.errors"`
+	ColdShare Range  `toml:"cold_share" of:"world.peer.cold_share"`
+	ColdFor   Spans  `toml:"cold_for" of:"world.peer.cold_for"`
+}
+
+// ClassRanges draws a world.Class.
+type ClassRanges struct {
+	Name     string `toml:"name"`
+	Safe     bool   `toml:"safe"`
+	Share    Range  `toml:"share" of:"scenario.weight"` // of requests
+	Work     Spans  `toml:"work" of:"world.class.work"`
+	Spread   Range  `toml:"spread" of:"world.class.spread"`
+	Aim      Spans  `toml:"aim" of:"world.class.aim"`
+	Deadline Spans  `toml:"deadline" of:"world.class.deadline"`
+	Worth    Range  `toml:"worth" of:"world.class.worth"`
+	Body     Counts `toml:"body" of:"world.class.body"`
+	Answer   Counts `toml:"answer" of:"world.class.answer"`
+}
+
+// TenantRanges draws a world.Tenant.
+type TenantRanges struct {
+	Name  string `toml:"name"`
+	Share Range  `toml:"share" of:"world.tenant.share"`
+	Usage Range  `toml:"usage" of:"scenario.usage"` // of its share
+	Quota Range  `toml:"quota" of:"scenario.load"`  // of what the peers can do, times its share
+}
+
+// ClientRanges draws a world.Clients for each zone and tenant.
+type ClientRanges struct {
+	MixSwing  Range   `toml:"mix_swing" of:"scenario.spread"` // by which a crowd's share of a class differs
+	Waves     float64 `toml:"waves" of:"scenario.chance"`     // share of runs
+	Swing     Range   `toml:"swing" of:"world.clients.swing"`
+	Period    Spans   `toml:"period" of:"world.clients.period"`
+	Keyless   float64 `toml:"keyless" of:"scenario.chance"` // share of crowds
+	Keys      Counts  `toml:"keys" of:"world.clients.keys"`
+	Zipf      Range   `toml:"zipf" of:"world.clients.zipf"`
+	Retries   Counts  `toml:"retries" of:"world.clients.retries"`
+	Backoff   Spans   `toml:"backoff" of:"world.clients.backoff"`
+	Honour    Range   `toml:"honour" of:"world.clients.honour"`
+	Patience  Range   `toml:"patience" of:"world.clients.patience"`
+	Leave     Range   `toml:"leave" of:"world.clients.leave"`
+	Fresh     Range   `toml:"fresh" of:"world.clients.fresh"`
+	Keep      Range   `toml:"keep" of:"world.clients.keep"`
+	Pipelines float64 `toml:"pipelines" of:"scenario.chance"` // share of crowds
+	Pipelined Range   `toml:"pipelined" of:"world.clients.pipelined"`
+	Conns     Counts  `toml:"conns" of:"world.clients.conns"`
+	Odd       Range   `toml:"odd" of:"world.clients.odd"`
+}
+
+// RogueRanges draws the world.Rogues of one fault of the kind "rogues".
+type RogueRanges struct {
+	Kinds []string `toml:"kinds"` // of package client
+	Crowd Counts   `toml:"crowd" of:"scenario.one_or_more"`
+	Rate  Range    `toml:"rate" of:"world.rogue.rate"`
+}
+
+// FaultPlan is how faults are put together.
+type FaultPlan struct {
+	Calm    float64 `toml:"calm" of:"scenario.chance"` // share of runs without any
+	Count   Counts  `toml:"count" of:"scenario.many"`
+	Lead    Spans   `toml:"lead" of:"scenario.lead"`      // calm time before the first
+	Tail    Spans   `toml:"tail" of:"scenario.lead"`      // time after a fault, to meet what comes back
+	Overlap float64 `toml:"overlap" of:"scenario.chance"` // share of faults that share one instant
+	Combos  float64 `toml:"combos" of:"scenario.chance"`  // share of runs that play a combination
+}
+
+// KindRanges draws a Fault. It states what its kind takes; Part, of those there
+// are, is how many peers, nodes or crowds it is about.
+type KindRanges struct {
+	Name     string  `toml:"name"`
+	Weight   float64 `toml:"weight" of:"scenario.weight"`
+	Part     Range   `toml:"part,omitempty"`
+	For      Spans   `toml:"for,omitempty"`
+	Share    Range   `toml:"share,omitempty"`
+	Factor   Range   `toml:"factor,omitempty"`
+	Pause    Spans   `toml:"pause,omitempty"`
+	TurnAway Spans   `toml:"turn_away,omitempty"`
+	Back     Spans   `toml:"back,omitempty"`
+}
+
+// Combo is some kinds that are to meet.
+type Combo struct {
+	Name   string   `toml:"name"`
+	Weight float64  `toml:"weight" of:"scenario.weight"`
+	Kinds  []string `toml:"kinds"`
+}
+
+//go:embed scenario.toml
+var defaultScenario []byte
+
+// Default is the scenario that comes with the lab.
+func Default() (*Scenario, error) { return parseScenario("scenario.toml", defaultScenario) }
+
+// LoadScenario reads a scenario from a file and checks it. A file states every
+// figure; none is taken from elsewhere.
+func LoadScenario(path string) (*Scenario, error) {
+	data, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	return parseScenario(path, data)
+}
+
+func parseScenario(name string, data []byte) (*Scenario, error) {
+	t, err := readTree(name, data)
+	if err != nil {
+		return nil, err
+	}
+	sc := &Scenario{}
+	if err := decode(t, sc); err != nil {
+		return nil, err
+	}
+	c := &scenarioChecker{sc: sc, limits: limits()}
+	c.ranges("", t.root, reflect.ValueOf(*sc), "")
+	c.lists()
+	c.rogues()
+	table := kinds()
+	for i := range sc.Kinds {
+		c.kind(fmt.Sprintf("kind[%d]", i), t, i, table)
+	}
+	c.combos(table)
+	if err := c.in(t); err != nil {
+		return nil, err
+	}
+	// Guards against names that meet only in a script, such as a crowd's.
+	if err := Draw(1, sc).Check(); err != nil {
+		return nil, &Error{File: name, Line: 1, Reason: "what is drawn from it does not do: " + err.Error()}
+	}
+	return sc, nil
+}
--- /dev/null
+++ b/internal/lab/fault/schedule.go
@@ -0,0 +1,106 @@
+package fault
+
+import (
+	"time"
+
+	"olivebridge/internal/lab/loop"
+	"olivebridge/internal/lab/world"
+)
+
+// Schedule sets off each fault at its instant and undoes it when its time is
+// over; at the script's Length whatever is left is undone.
+func (s *Script) Schedule(l *loop.Loop, t Target) {
+	r := &run{script: s, loop: l, target: t, peers: map[string]*life{}, nodes: map[string]*life{}}
+	for _, p := range s.World.Peers {
+		r.peers[p.Name] = &life{at: host(p), out: p.Late}
+	}
+	for _, n := range s.World.Nodes {
+		r.nodes[n.Name] = &life{at: n.Name}
+	}
+	table := kinds()
+	l.At(s.Length.D(), r.finish)
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		set := table[f.Kind].set
+		l.At(f.At.D(), func() {
+			if !r.over && set != nil {
+				set(r, f)
+			}
+		})
+	}
+}
+
+// host is the machine of a peer.
+func host(p world.Peer) string {
+	if p.Host != "" {
+		return p.Host
+	}
+	return p.Name
+}
+
+// run is a script being played.
+type run struct {
+	script *Script
+	loop   *loop.Loop
+	target Target
+	peers  map[string]*life
+	nodes  map[string]*life
+	heals  []func() // in the order in which they were set off; harmless when done
+	over   bool
+}
+
+// life is what the faults together make of one process. Several may hold it
+// down at one time; it starts again when the last lets go.
+type life struct {
+	at       string // its host
+	held     int    // how many keep it from running
+	vanished int    // how many keep its machine silent
+	out      bool   // it has been replaced, or its time has not come: nothing starts it
+}
+
+// process is what peers and nodes have in common.
+type process interface {
+	Start()
+	Kill()
+	Down() bool
+}
+
+// after lets f run once d has passed, or at the script's end if that is earlier.
+func (r *run) after(d time.Duration, f func()) {
+	done := false
+	once := func() {
+		if !done {
+			done = true
+			f()
+		}
+	}
+	r.heals = append(r.heals, once)
+	r.loop.After(d, once)
+}
+
+func (r *run) finish() {
+	r.over = true
+	for _, heal := range r.heals {
+		heal()
+	}
+	r.heals = nil
+}
+
+// hold kills a process and starts it again after d, if nothing else holds it.
+func (r *run) hold(l *life, p process, d time.Duration) {
+	if l.out {
+		return
+	}
+	l.held++
+	if !p.Down() {
+		p.Kill()
+	}
+	r.after(d, func() { l.release(p) })
+}
+
+func (l *life) release(p process) {
+	l.held--
+	if l.held == 0 && !l.out && p.Down() {
+		p.Start()
+	}
+}
--- /dev/null
+++ b/internal/lab/fault/schedule_test.go
@@ -0,0 +1,271 @@
+package fault
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"olivebridge/internal/lab/figure"
+	"olivebridge/internal/lab/loop"
+	"olivebridge/internal/lab/world"
+)
+
+// stand stands in for a run: it keeps what is asked of it, and who is up.
+type stand struct {
+	t     *testing.T
+	loop  *loop.Loop
+	log   []string
+	up    map[string]bool // processes, and machines that can be heard
+	hosts map[string]string
+	on    map[string]string // by host, the peer that is up there
+	open  int               // faults that are not healed
+	conns []string
+}
+
+func (s *stand) say(format string, args ...any) func() {
+	what := fmt.Sprintf(format, args...)
+	s.log = append(s.log, fmt.Sprintf("%.1f %s", s.loop.Now().Seconds(), what))
+	s.open++
+	healed := false
+	return func() {
+		if healed {
+			s.t.Errorf("%s: healed twice", what)
+		}
+		healed = true
+		s.open--
+		s.log = append(s.log, fmt.Sprintf("%.1f end of %s", s.loop.Now().Seconds(), what))
+	}
+}
+
+func (s *stand) Peer(name string) Peer   { return entity{s, name} }
+func (s *stand) Node(name string) Node   { return entity{s, name} }
+func (s *stand) Crowd(name string) Crowd { return entity{s, name} }
+func (s *stand) Discovery() Discovery    { return discovery{entity{s, "discovery"}} }
+func (s *stand) Network() Network        { return network{s} }
+func (s *stand) Zone(host string) string {
+	if strings.HasPrefix(host, "c") {
+		return ""
+	}
+	return "tamworth"
+}
+
+type entity struct {
+	*stand
+	name string
+}
+
+func (e entity) Down() bool { return !e.up[e.name] }
+
+func (e entity) Start() {
+	if e.up[e.name] {
+		e.t.Errorf("%s is started while up", e.name)
+	}
+	if h := e.hosts[e.name]; h != "" {
+		if other := e.on[h]; other != "" && e.up[other] {
+			e.t.Errorf("%s is started where %s is up", e.name, other)
+		}
+		e.on[h] = e.name
+	}
+	e.up[e.name] = true
+	e.say("%s start", e.name)
+	e.open--
+}
+
+func (e entity) Kill() {
+	if !e.up[e.name] {
+		e.t.Errorf("%s is killed while down", e.name)
+	}
+	e.up[e.name] = false
+	e.say("%s kill", e.name)
+	e.open--
+}
+
+func (e entity) Drain(turnAway, exit time.Duration) {
+	e.say("%s drain %v %v", e.name, turnAway, exit)
+	e.open--
+	if e.name != "p09" { // which holds a request for ever
+		e.loop.After(exit, func() { e.up[e.name] = false })
+	}
+}
+
+func (e entity) Term() { e.Drain(0, time.Second) }
+
+func (e entity) Hup(discovery string) {
+	e.say("%s hup %s", e.name, discovery)
+	e.open--
+}
+
+func (e entity) Stall(d time.Duration) {
+	e.say("%s stall %v", e.name, d)
+	e.open--
+}
+
+func (e entity) Slow(f float64) func()      { return e.say("%s slow %v", e.name, f) }
+func (e entity) Fail(f float64) func()      { return e.say("%s fail %v", e.name, f) }
+func (e entity) Spoil(f float64) func()     { return e.say("%s spoil %v", e.name, f) }
+func (e entity) Surplus(f float64) func()   { return e.say("%s surplus %v", e.name, f) }
+func (e entity) Silent(f float64) func()    { return e.say("%s silent %v", e.name, f) }
+func (e entity) TurnAway(f float64) func()  { return e.say("%s turnaway %v", e.name, f) }
+func (e entity) Break(f float64) func()     { return e.say("%s break %v", e.name, f) }
+func (e entity) Surge(f float64) func()     { return e.say("%s surge %v", e.name, f) }
+func (e entity) LeaveMore(f float64) func() { return e.say("%s leave %v", e.name, f) }
+func (e entity) Costly(c string, s, f float64) func() {
+	return e.say("%s costly %s %v %v", e.name, c, s, f)
+}
+
+type discovery struct{ entity }
+
+func (d discovery) Down() func()            { return d.say("discovery down") }
+func (d discovery) Stall(f float64) func()  { return d.say("discovery stall %v", f) }
+func (d discovery) Refuse(f float64) func() { return d.say("discovery refuse %v", f) }
+func (d discovery) Delay(f float64) func()  { return d.say("discovery late %v", f) }
+func (d discovery) Garble(f float64) func() { return d.say("discovery garble %v", f) }
+func (d discovery) Blind() func()           { return d.say("discovery blind") }
+func (d discovery) Vanished(name string)    { d.say("%s unheard", name); d.open-- }
+func (d discovery) Returned(name string)    { d.say("%s heard", name); d.open-- }
+func (d discovery) Move() string            { d.say("discovery move"); d.open--; return "spare" }
+
+type network struct{ *stand }
+
+func (n network) Vanish(host string) { n.say("vanish %s", host) }
+func (n network) Return(host string) { n.say("return %s", host); n.open -= 2 }
+func (n network) Cut(a, b func(string) bool) func() {
+	return n.say("cut %v %v", a("p01"), b("p01"))
+}
+func (n network) HushNew(share float64, to func(string) bool) func() {
+	return n.say("hushing %v %v %v", share, to("p01"), to("p02"))
+}
+func (n network) Slow(f float64, a, b func(string) bool) func() {
+	return n.say("slowlink %v %v %v", f, a("p01"), b("p01"))
+}
+func (n network) Hush(pick func(string) bool) {
+	var some []string
+	for _, c := range n.conns {
+		if pick(c) {
+			some = append(some, c)
+		}
+	}
+	n.say("hush %v", some)
+	n.open--
+}
+
+// play plays a script's faults and says what they did.
+func play(t *testing.T, s *Script, conns ...string) *stand {
+	var st *stand
+	synctest.Test(t, func(t *testing.T) {
+		l := loop.New(synctest.Wait)
+		st = &stand{t: t, loop: l, up: map[string]bool{}, hosts: map[string]string{}, on: map[string]string{}, conns: conns}
+		for _, n := range s.World.Nodes {
+			st.up[n.Name] = true
+		}
+		for _, p := range s.World.Peers {
+			st.up[p.Name] = !p.Late
+			st.hosts[p.Name] = host(p)
+			if !p.Late {
+				st.on[host(p)] = p.Name
+			}
+		}
+		s.Schedule(l, st)
+		l.Run(t.Context(), s.Length.D()+time.Microsecond, nil)
+		if st.open != 0 {
+			t.Errorf("%d faults are not healed at the end", st.open)
+		}
+		l.Run(t.Context(), s.Length.D()+time.Minute, nil)
+	})
+	return st
+}
+
+// Whatever is drawn: no process is started twice or where another stands, and
+// at the end all that is still in service is up.
+func TestScheduleOfDrawn(t *testing.T) {
+	sc := scenario(t)
+	for seed := range uint64(150) {
+		s := Draw(seed, sc)
+		st := play(t, s)
+		replaced := map[string]bool{}
+		for _, f := range s.Faults {
+			if len(f.Heirs) > 0 {
+				for _, p := range f.Peers {
+					replaced[p] = true
+				}
+			}
+		}
+		for _, p := range s.World.Peers {
+			if p.Name != "p09" && st.up[p.Name] == replaced[p.Name] {
+				t.Errorf("seed %d: %s is up: %v, replaced: %v\n%s", seed, p.Name, st.up[p.Name], replaced[p.Name],
+					strings.Join(st.log, "\n"))
+			}
+		}
+		for _, n := range s.World.Nodes {
+			if !st.up[n.Name] {
+				t.Errorf("seed %d: node %s is down\n%s", seed, n.Name, strings.Join(st.log, "\n"))
+			}
+		}
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+func TestSchedule(t *testing.T) {
+	sec := func(s float64) figure.Span { return figure.Span(figure.Seconds(s)) }
+	p1, p2 := []string{"p01"}, []string{"p02"}
+	for _, c := range []struct {
+		name   string
+		faults []Fault
+		want   string
+	}{
+		{"two deaths of one peer", []Fault{
+			{Kind: "death", At: sec(1), For: sec(3), Peers: p1},
+			{Kind: "death", At: sec(2), For: sec(5), Peers: p1},
+		}, "1.0 p01 kill, 7.0 p01 start"},
+		{"drain", []Fault{
+			{Kind: "drain", At: sec(1), For: sec(2), TurnAway: sec(1), Back: sec(1), Pause: sec(0.5), Peers: []string{"p01", "p02"}},
+		}, "1.0 p01 drain 1s 2s, 1.5 p02 drain 1s 2s, 4.0 p01 start, 4.5 p02 start"},
+		{"a drain that does not end", []Fault{
+			{Kind: "drain", At: sec(1), For: sec(2), Back: sec(1), Peers: []string{"p09"}},
+		}, "1.0 p09 drain 0s 2s, 6.0 p09 kill, 7.0 p09 start"},
+		{"a death amid a release, and one after it", []Fault{
+			{Kind: "release", At: sec(1), For: sec(2), Back: sec(1), Peers: p1, Heirs: []string{"p01r1"}},
+			{Kind: "death", At: sec(2), For: sec(5), Peers: p1},
+			{Kind: "death", At: sec(8), For: sec(1), Peers: p1},
+		}, "1.0 p01 drain 0s 2s, 2.0 p01 kill, 4.0 p01r1 start"},
+		{"replace", []Fault{
+			{Kind: "replace", At: sec(1), For: sec(1), Peers: p1, Heirs: []string{"p01r1"}},
+		}, "1.0 p01 kill, 2.0 p01r1 start"},
+		{"move and reload", []Fault{
+			{Kind: "node-kill", At: sec(1), For: sec(3), Nodes: []string{"n2"}},
+			{Kind: "move", At: sec(2), Pause: sec(0.5)},
+			{Kind: "node-reload", At: sec(5), Nodes: []string{"n1", "n2"}},
+		}, "1.0 n2 kill, 2.0 discovery move, 2.5 n1 hup spare, 4.0 n2 start, 5.0 n1 hup , 5.0 n2 hup "},
+		{"restart", []Fault{{Kind: "node-restart", At: sec(1), For: sec(3), Nodes: []string{"n1"}}},
+			"1.0 n1 drain 0s 1s, 4.0 n1 start"},
+		{"vanish of one that dies", []Fault{
+			{Kind: "vanish", At: sec(1), For: sec(3), Peers: p2}, {Kind: "death", At: sec(2), For: sec(4), Peers: p2},
+		}, "1.0 vanish p02, 1.0 p02 unheard, 2.0 p02 kill, 4.0 return p02, 6.0 p02 start"},
+		{"hush and mute", []Fault{
+			{Kind: "hush", At: sec(1), Share: 1, Peers: p2}, {Kind: "mute", At: sec(2), Share: 1, Nodes: []string{"n1"}},
+			{Kind: "hush", At: sec(3), Share: 0.5, Peers: []string{"p01", "p02"}},
+		}, "1.0 hush [n1>p02#1], 2.0 hush [c1>n1#2], 3.0 hush [n1>p01#2]"},
+		{"network", []Fault{
+			{Kind: "cut", At: sec(1), For: sec(1), Zone: "tamworth"},
+			{Kind: "hushing", At: sec(3), For: sec(1), Share: 0.5, Peers: p1},
+			{Kind: "slowlink", At: sec(5), For: sec(1), Factor: 4, Peers: p1},
+		}, "1.0 cut true false, 2.0 end of cut true false, 3.0 hushing 0.5 true false, " +
+			"4.0 end of hushing 0.5 true false, 5.0 slowlink 4 true false, 6.0 end of slowlink 4 true false"},
+		{"until the end", []Fault{{Kind: "surge", At: sec(5), For: sec(15), Factor: 2, Clients: []string{"c1"}}},
+			"5.0 c1 surge 2, 20.0 end of c1 surge 2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &Script{Seed: 5, Length: sec(20), Faults: c.faults}
+			s.World.Nodes = []world.Node{{Name: "n1"}, {Name: "n2"}}
+			s.World.Peers = []world.Peer{{Name: "p01"}, {Name: "p02"}, {Name: "p09"}, {Name: "p01r1", Host: "p01", Late: true}}
+			st := play(t, s, "n1>p01#1", "n1>p01#2", "n2>p01#1", "n1>p02#1", "c1>n1#2", "n1>registry#1", "front>p03#1")
+			if got := strings.Join(st.log, ", "); got != c.want {
+				t.Errorf("got  %s\nwant %s", got, c.want)
+			}
+		})
+	}
+}
