Test what several faults make of one process, and who takes whose place

Need: twenty small wrong changes were made to the package, one at a time, and eight of them no test found (two replacements of one peer, two restarts of one node, heirs in Check and Smaller, the seed's topmost bit). Change: a case for each; the test for 'out' on release, which never decided anything, is gone.

--- a/internal/lab/fault/draw_test.go
+++ b/internal/lab/fault/draw_test.go
@@ -5,9 +5,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"reflect"
+	"slices"
 	"testing"
 
 	"olivebridge/internal/lab/figure"
+	"olivebridge/internal/lab/world"
 )
 
 func scenario(t *testing.T) *Scenario {
@@ -102,7 +104,7 @@
 
 // Streams stand for themselves: another range for one entity leaves all else.
 func TestDrawsAreApart(t *testing.T) {
-	a, sc := Draw(7, scenario(t)), scenario(t)
+	a, sc := Draw(1<<63|7, scenario(t)), scenario(t) // no file holds the topmost bit
 	sc.Node.MemoryMB = Counts{100, 101}
 	sc.Discovery.Each = Spans{figure.Span(5e6), figure.Span(5e6)}
 	sc.Peer.Conns = Counts{5, 5}
@@ -120,6 +122,33 @@
 	if !reflect.DeepEqual(a, b) {
 		t.Error("ranges of some figures moved others")
 	}
+	sc.PeerKinds[0].ColdShare, sc.PeerKinds[1].ColdShare = Range{0.01, 0.02}, Range{0.01, 0.02}
+	for _, p := range Draw(7, sc).World.Peers {
+		if p.ColdShare < a.World.Contract.ColdShare {
+			t.Errorf("%s starts colder than the contract has it", p.Name)
+		}
+	}
+}
+
+// What a cut leaves without a meaning goes with it, and the cut is offered.
+func TestSmallerHeirs(t *testing.T) {
+	s := &Script{}
+	for seed := uint64(0); len(s.Faults) == 0 || len(s.Faults[0].Heirs) < 2; seed++ {
+		s = Draw(seed, scenario(t))
+	}
+	heir := s.Faults[0].Heirs[0]
+	calm, without := false, false
+	for c := range s.Smaller() {
+		late := slices.ContainsFunc(c.World.Peers, func(p world.Peer) bool { return p.Late })
+		calm = calm || len(c.Faults) == 0 && !late
+		gone := !slices.ContainsFunc(c.World.Peers, func(p world.Peer) bool { return p.Name == heir })
+		old := slices.ContainsFunc(c.World.Peers, func(p world.Peer) bool { return p.Name == s.Faults[0].Peers[0] })
+		without = without || gone && old && len(c.Faults) == len(s.Faults) && len(c.World.Peers) == len(s.World.Peers)-1 &&
+			len(c.Faults[0].Peers) == len(s.Faults[0].Peers)-1
+	}
+	if !calm || !without {
+		t.Errorf("no script without faults (%v), or without one heir (%v)", calm, without)
+	}
 }
 
 func TestSmaller(t *testing.T) {
--- a/internal/lab/fault/file_test.go
+++ b/internal/lab/fault/file_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 
+	"olivebridge/internal/lab/figure"
 	"olivebridge/internal/lab/world"
 )
 
@@ -108,6 +109,32 @@
 	}
 }
 
+func TestCheckHeirs(t *testing.T) {
+	s := Draw(3, scenario(t))
+	s.World.Peers = append(s.World.Peers[:2:2], s.World.Peers[0], s.World.Peers[1])
+	for i, name := range []string{"q1", "q2"} {
+		q := &s.World.Peers[2+i]
+		q.Name, q.Host, q.Late = name, s.World.Peers[i].Name, true
+	}
+	replace := func(at int, peer, heir string) Fault {
+		return Fault{Kind: "replace", At: figure.Span(at) * 1e9, For: 1e9, Peers: []string{peer}, Heirs: []string{heir}}
+	}
+	for _, c := range []struct {
+		faults []Fault
+		want   string
+	}{
+		{[]Fault{replace(1, "p01", "q1"), replace(2, "p02", "q2")}, ""},
+		{[]Fault{replace(1, "p01", "q1")}, `world.peer[3].late: no fault starts "q2"`},
+		{[]Fault{replace(1, "p01", "q2")}, `fault[0].heirs[0]: "q2" has not the host of "p01"`},
+		{[]Fault{replace(1, "p01", "q1"), replace(2, "p01", "q1")}, `fault[1].heirs[0]: "q1" is started by fault[0] already`},
+	} {
+		s.Faults, s.World.Rogues = c.faults, nil
+		if err := s.Check(); (err == nil) != (c.want == "") || err != nil && err.Error() != c.want {
+			t.Errorf("error %v, want %q", err, c.want)
+		}
+	}
+}
+
 func TestBadScenarios(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{"jitter = [0.05, 0.3]", "jitter = [0.3, 0.05]", "net.jitter: range upside down"},
--- a/internal/lab/fault/schedule.go
+++ b/internal/lab/fault/schedule.go
@@ -55,7 +55,7 @@
 	at       string // its host
 	held     int    // how many keep it from running
 	vanished int    // how many keep its machine silent
-	out      bool   // it has been replaced, or its time has not come: nothing starts it
+	out      bool   // it has been replaced, and stays held, or its time has not come
 }
 
 // process is what peers and nodes have in common.
@@ -100,7 +100,7 @@
 
 func (l *life) release(p process) {
 	l.held--
-	if l.held == 0 && !l.out && p.Down() {
+	if l.held == 0 && p.Down() {
 		p.Start()
 	}
 }
--- a/internal/lab/fault/schedule_test.go
+++ b/internal/lab/fault/schedule_test.go
@@ -255,13 +255,27 @@
 			{Kind: "slowlink", At: sec(5), For: sec(1), Factor: 4, Peers: p1},
 		}, "1.0 cut true false, 2.0 end of cut true false, 3.0 hushing 0.5 true false, " +
 			"4.0 end of hushing 0.5 true false, 5.0 slowlink 4 true false, 6.0 end of slowlink 4 true false"},
+		{"two that replace one", []Fault{
+			{Kind: "release", At: sec(1), For: sec(2), Back: sec(1), Peers: p1, Heirs: []string{"p01r1"}},
+			{Kind: "replace", At: sec(2), For: sec(1), Peers: p1, Heirs: []string{"p01r2"}},
+		}, "1.0 p01 drain 0s 2s, 2.0 p01 kill, 3.0 p01r2 start"},
+		{"two restarts of one node, and a reload", []Fault{
+			{Kind: "node-restart", At: sec(1), For: sec(3), Nodes: []string{"n1"}},
+			{Kind: "node-reload", At: sec(1.2), Nodes: []string{"n1", "n2"}},
+			{Kind: "node-restart", At: sec(1.5), For: sec(3), Nodes: []string{"n1"}},
+		}, "1.0 n1 drain 0s 1s, 1.2 n2 hup , 4.5 n1 start"},
+		{"a move and a stuck drain at the end", []Fault{
+			{Kind: "drain", At: sec(16), For: sec(3), Back: sec(1), Peers: []string{"p09"}},
+			{Kind: "move", At: sec(19.8), Pause: sec(1)},
+		}, "16.0 p09 drain 0s 3s, 19.8 discovery move, 20.0 n1 hup spare, 20.0 n2 hup spare"},
 		{"until the end", []Fault{{Kind: "surge", At: sec(5), For: sec(15), Factor: 2, Clients: []string{"c1"}}},
 			"5.0 c1 surge 2, 20.0 end of c1 surge 2"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := &Script{Seed: 5, Length: sec(20), Faults: c.faults}
 			s.World.Nodes = []world.Node{{Name: "n1"}, {Name: "n2"}}
-			s.World.Peers = []world.Peer{{Name: "p01"}, {Name: "p02"}, {Name: "p09"}, {Name: "p01r1", Host: "p01", Late: true}}
+			s.World.Peers = []world.Peer{{Name: "p01"}, {Name: "p02"}, {Name: "p09"}, {Name: "p01r1", Host: "p01", Late: true},
+				{Name: "p01r2", Host: "p01", Late: true}}
 			st := play(t, s, "n1>p01#1", "n1>p01#2", "n2>p01#1", "n1>p02#1", "c1>n1#2", "n1>registry#1", "front>p03#1")
 			if got := strings.Join(st.log, ", "); got != c.want {
 				t.Errorf("got  %s\nwant %s", got, c.want)
