Shorten the peers' tests: every fault in one table, answers numbered

The faults' table took twice the lines it needed, and the test of answers did not look at the run's number in them. Each fault is one line now, two slownesses that stack among them, and the number is looked at.

--- a/internal/lab/world/peer/peer_test.go
+++ b/internal/lab/world/peer/peer_test.go
@@ -106,11 +106,7 @@
 		{"pushed while warm", 300, ms, true, 0},
 	} {
 		t.Run(k.name, func(t *testing.T) {
-			r := play(t, c, func(r *rig) {
-				r.Kill()
-				r.Start(k.warm)
-				r.calls(k.calls, sec, k.gap)
-			})
+			r := play(t, c, func(r *rig) { r.Kill(); r.Start(k.warm); r.calls(k.calls, sec, k.gap) })
 			r.want("falls", r.Stats().Falls, k.falls)
 			r.want("down", r.Down(), k.falls > 0)
 			if k.falls > 0 {
@@ -123,91 +119,78 @@
 }
 
 func TestFaultsShowOnTheWire(t *testing.T) {
-	good := func(a *ask) bool {
-		return len(a.got) > 0 && a.got[0].Status == 200 && bytes.HasPrefix(a.got[0].Body, []byte("peer=p03 call="))
-	}
 	type seen struct {
 		*ask
+		good bool
 		took time.Duration // until the first byte
 	}
+	costly := func(class string, factor float64) func(*Peer, float64) func() {
+		return func(p *Peer, share float64) func() { p.Costly("quote", 0, 6); return p.Costly(class, share, factor) }
+	}
+	twice := func(p *Peer, _ float64) func() {
+		one, two := p.Slow(3), p.Slow(2)
+		return func() { one(); two() }
+	}
 	for name, c := range map[string]struct {
-		fault func(*Peer) func()
+		fault func(*Peer, float64) (heal func())
 		shows func(seen) bool
 		ran   int // of 40
 	}{
-		"none": {func(*Peer) func() { return func() {} },
-			func(s seen) bool { return good(s.ask) && s.status() == 200 }, 40},
-		"fail": {func(p *Peer) func() { return p.Fail(1) },
-			func(s seen) bool { return s.status() == 500 && s.took < 6*ms }, 40},
-		"turn away": {func(p *Peer) func() { return p.TurnAway(1) },
-			func(s seen) bool { return s.status() == 503 && s.took < 6*ms }, 0},
-		"silent": {func(p *Peer) func() { return p.Silent(1) },
-			func(s seen) bool { return len(s.raw) == 0 && s.err == nil }, 40},
-		"break": {func(p *Peer) func() { return p.Break(1) },
-			func(s seen) bool { return len(s.raw) == 0 && s.err == link.Reset }, 25},
-		"spoil": {func(p *Peer) func() { return p.Spoil(1) },
-			func(s seen) bool { return len(s.raw) > 0 && len(s.got) == 0 && s.err == nil }, 40},
-		"surplus": {func(p *Peer) func() { return p.Surplus(1) },
-			func(s seen) bool { return good(s.ask) && len(s.raw) > s.got[0].Bytes }, 40},
-		"slow": {func(p *Peer) func() { return p.Slow(5) },
-			func(s seen) bool { return good(s.ask) && s.took > 98*ms }, 40},
-		"costly": {func(p *Peer) func() { return p.Costly("quote", 1, 6) },
-			func(s seen) bool { return good(s.ask) && s.took > 115*ms }, 40},
-		"costly for others": {func(p *Peer) func() { p.Costly("quote", 0, 6); return p.Costly("book", 1, 6) },
-			func(s seen) bool { return good(s.ask) && s.took < 30*ms }, 40},
+		"fail":       {(*Peer).Fail, func(s seen) bool { return s.status() == 500 && s.took < 6*ms }, 40},
+		"turn away":  {(*Peer).TurnAway, func(s seen) bool { return s.status() == 503 && s.took < 6*ms }, 0},
+		"silent":     {(*Peer).Silent, func(s seen) bool { return len(s.raw) == 0 && s.err == nil }, 40},
+		"break":      {(*Peer).Break, func(s seen) bool { return len(s.raw) == 0 && s.err == link.Reset }, 25},
+		"spoil":      {(*Peer).Spoil, func(s seen) bool { return len(s.raw) > 0 && s.got == nil && s.err == nil }, 40},
+		"surplus":    {(*Peer).Surplus, func(s seen) bool { return s.good && len(s.raw) > s.got[0].Bytes }, 40},
+		"slow twice": {twice, func(s seen) bool { return s.good && s.took > 118*ms && s.took < 131*ms }, 40},
+		"costly":     {costly("quote", 6), func(s seen) bool { return s.good && s.took > 118*ms }, 40},
+		"another's":  {costly("book", 6), func(s seen) bool { return s.good && s.took < 30*ms }, 40},
+		"no dearer":  {costly("quote", 1), func(s seen) bool { return s.good && s.status() == 200 }, 40},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var ran int
 			r := play(t, world.Peer{Cores: 40, Slots: 40}, func(r *rig) {
-				heal := c.fault(r.Peer)
+				heal := c.fault(r.Peer, 1)
 				r.calls(40, sec, 10*ms)
 				r.at(9*sec, func() { ran = r.Stats().Ran; heal(); heal() })
 				r.calls(1, 10*sec, 0)
 			})
-			for i, a := range r.asks[:40] {
-				if took := a.first - sec - time.Duration(i)*10*ms; !c.shows(seen{a, took}) {
+			for i, a := range r.asks {
+				good := len(a.got) > 0 && bytes.HasPrefix(a.got[0].Body, []byte("peer=p03 call="))
+				took := a.first - sec - time.Duration(i)*10*ms
+				if i == 40 {
+					r.want("healed", good && a.first < 10*sec+30*ms, true)
+				} else if !c.shows(seen{a, good, took}) {
 					t.Errorf("call %d: %.80q after %v, %d messages, end %v", i, a.raw, took, len(a.got), a.err)
 				}
 			}
 			r.want("ran", ran, c.ran)
-			r.want("healed", good(r.asks[40]) && r.asks[40].first < 10*sec+30*ms, true)
 		})
 	}
 }
 
-func TestStacks(t *testing.T) {
-	r := play(t, world.Peer{}, func(r *rig) {
-		one, two := r.Slow(2), r.Slow(3)
-		r.calls(1, sec, 0)
-		r.at(2*sec, one)
-		r.calls(1, 3*sec, 0)
-		r.at(4*sec, two)
-		r.calls(1, 5*sec, 0)
-	})
-	for i, want := range []time.Duration{124 * ms, 64 * ms, 24 * ms} {
-		r.near("call", r.asks[i].first-time.Duration(1+2*i)*sec, want, 0.06)
-	}
-}
-
 func TestSpoiltAnswersOfEveryKind(t *testing.T) {
-	seen := map[string]bool{}
 	r := play(t, world.Peer{Cores: 60, Slots: 60}, func(r *rig) { r.Spoil(1); r.calls(60, sec, 10*ms) })
-	for _, a := range r.asks {
+	kind := func(a *ask) string {
 		switch text := string(a.raw); {
+		case text[0] != 'H':
+			return "noise"
 		case a.bad != nil && a.bad.Error() == "two lengths":
-			seen["two lengths"] = true
+			return "two lengths"
 		case strings.Contains(text, fmt.Sprint(1<<30)) && len(text) > 1<<20:
-			seen["huge"] = true
-		case text[0] != 'H':
-			seen["noise"] = true
+			return "huge"
 		case a.bad != nil:
-			seen["head"] = true
+			return "head"
 		case strings.Count(text, "X-Fill") > 40 && !strings.Contains(text, "\r\n\r\n"):
-			seen["endless head"] = true
-		case strings.Contains(text, "Content-Length"):
-			seen["short"] = true
+			return "endless head"
+		default:
+			return "short"
 		}
 	}
+	seen := map[string]bool{}
+	for _, a := range r.asks {
+		seen[kind(a)] = true
+	}
 	r.want("kinds", slices.Sorted(maps.Keys(seen)), "[endless head head huge noise short two lengths]")
 }
 
@@ -388,21 +371,20 @@
 }
 
 func TestAnswersAreAPeersOwn(t *testing.T) {
-	bodies := map[string]bool{}
-	forms := map[string]int{}
+	bodies, forms := map[string]bool{}, map[string]bool{}
 	for _, name := range []string{"p03", "p04"} {
 		r := play(t, world.Peer{Name: name, Cores: 9, Slots: 9}, func(r *rig) {
 			for i := range 200 {
 				r.send(time.Duration(i)*20*ms, quote("a"))
 			}
 		})
-		for _, a := range r.asks {
+		for i, a := range r.asks {
 			m := a.got[0]
-			bodies[string(m.Body)] = true
 			_, chunked := m.Get("Transfer-Encoding")
-			forms[fmt.Sprint(chunked, m.Last)]++
-			if n := len(m.Body); n < 50 || n > 150 || !strings.HasPrefix(string(m.Body), "peer="+name+" call=a run=") {
-				t.Errorf("body %.60q", m.Body)
+			bodies[string(m.Body)], forms[fmt.Sprint(chunked, m.Last)] = true, true
+			want := fmt.Sprintf("peer=%s call=a run=%d ", name, i+1)
+			if n := len(m.Body); n < 50 || n > 150 || !bytes.HasPrefix(m.Body, []byte(want)) {
+				t.Errorf("body %.60q, want %q", m.Body, want)
 			}
 		}
 	}
--- a/internal/lab/world/peer/rig_test.go
+++ b/internal/lab/world/peer/rig_test.go
@@ -214,8 +214,8 @@
 }
 
 // statuses counts what came by status; 0: nothing did.
-func (r *rig) statuses() map[int]int {
-	n := map[int]int{}
+func (r *rig) statuses() (n map[int]int) {
+	n = map[int]int{}
 	for _, a := range r.asks {
 		n[a.status()]++
 	}
