Put what front and pool ask of the kernel behind transport.Conn

The lab plays the node's network code over an in-memory network, but the front read client connections through a descriptor, the pool peeked at the kernel, and both carrier and watch dialed TCP by themselves. All four now go through Conn (CloseWrite, ReadGate, Peek) and Dialer; socket.go gives them over TCP and holds every system call. The watch ends its connections, and any that it is still dialing, when it ends; a read that fails because this side closed tells no reason of its own any more.

--- /dev/null
+++ b/internal/transport/bench_test.go
@@ -0,0 +1,85 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"olivebridge/brain"
+	"olivebridge/internal/protocol"
+	"olivebridge/internal/routing"
+)
+
+// BenchmarkFront is one request after the other over a socket, through the front, and its answer.
+func BenchmarkFront(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	served := routing.Answer{Verdict: routing.Served, Reply: &reply{header: http.Header{}, body: []byte("hi")}}
+	f := NewFront(l, protocol.Names{Classes: map[string]int{"book": 0}},
+		taker(func(context.Context, routing.Call) (routing.Answer, bool) { return served, true }),
+		ClientBounds{Open: 10, Idle: 10}, slog.New(slog.DiscardHandler))
+	go f.Serve()
+	defer f.server.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	in, raw := bufio.NewReader(conn), []byte(head+"Content-Length: 2\r\n\r\nhi")
+	b.ReportAllocs()
+	for b.Loop() {
+		conn.Write(raw)
+		skipAnswer(b, in)
+	}
+}
+
+// skipAnswer reads an answer with a body of two bytes.
+func skipAnswer(b *testing.B, in *bufio.Reader) {
+	for n := 3; n > 2; {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			b.Fatal(err)
+		}
+		n = len(line)
+	}
+	in.Discard(2)
+}
+
+// BenchmarkTry is one try after the other to a peer, over a pooled connection.
+func BenchmarkTry(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		for buf := make([]byte, 4096); ; {
+			if _, err := conn.Read(buf); err != nil {
+				return
+			}
+			io.WriteString(conn, ok)
+		}
+	}()
+	k := NewCarrier(CarrierConfig{ConnectTimeout: time.Second, IdleClose: time.Minute, MaxConns: 10,
+		Log: slog.New(slog.DiscardHandler)})
+	k.pool.settle = 0
+	t := tryOf(routing.NewPeer(1, "s-1", l.Addr().String()), "GET", "")
+	b.ReportAllocs()
+	for b.Loop() {
+		if r := k.Try(context.Background(), t); r.Result != brain.OK {
+			b.Fatal(r)
+		}
+	}
+}
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -27,6 +27,7 @@
 	MaxConns       int           // connections to all peers together
 	MaxAnswer      int           // bytes of an answer's body; at least protocol.MaxBody is taken
 	Log            *slog.Logger
+	Dial           Dialer // nil: TCP
 }
 
 // Carrier brings tries and probes to peers over pooled connections.
@@ -39,14 +40,14 @@
 // NewCarrier makes a Carrier.
 func NewCarrier(c CarrierConfig) *Carrier {
 	k := &Carrier{
-		pool:    &pool{settle: settle, log: c.Log, idle: map[*routing.Peer][]*peerConn{}},
+		pool:    &pool{settle: settle, log: c.Log, dial: c.Dial, idle: map[*routing.Peer][]*peerConn{}},
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 	}
 	k.Configure(c)
 	return k
 }
 
-// Configure changes a Carrier in use, but for its log.
+// Configure changes a Carrier in use, but for its log and dialer.
 func (k *Carrier) Configure(c CarrierConfig) {
 	k.config.Store(&c)
 	// Connections are closed safely before the peer does: a request that crosses its closing is reset.
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -4,12 +4,10 @@
 	"container/list"
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -82,14 +80,13 @@
 		return nil, err
 	}
 	c.makeRoom()
-	k := &clientConn{Conn: conn, all: c, since: time.Now()}
-	s, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil, fmt.Errorf("client connection: %T has no descriptor", conn)
-	}
-	if k.raw, err = s.SyscallConn(); err != nil {
-		return nil, fmt.Errorf("client connection: %w", err)
+	gated, err := connOf(conn)
+	if err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("client: %w", err)
 	}
+	k := &clientConn{Conn: gated, all: c, since: time.Now()}
+	k.open, k.took = k.mayRead, k.hasRead
 	k.life = newLife(c.log, "client", conn.RemoteAddr().String(), func() { c.forget(k) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -277,56 +274,52 @@
 
 // clientConn is a client connection. Its marks belong to the lock of all.
 type clientConn struct {
-	net.Conn
+	Conn
 	life *life
 	all  *clients
 
 	list    *list.List // the one of all's that it stands in; nil: none
 	place   *list.Element
-	since   time.Time       // when it was accepted, or its request's first byte was read
-	active  bool            // a byte of an unanswered request has been read
-	whole   bool            // that request has been read whole
-	next    bool            // a byte of the one after it has been read
-	gone    bool            // its end is decided
-	raw     syscall.RawConn // of Conn
+	since   time.Time // when it was accepted, or its request's first byte was read
+	active  bool      // a byte of an unanswered request has been read
+	whole   bool      // that request has been read whole
+	next    bool      // a byte of the one after it has been read
+	gone    bool      // its end is decided
 	framing framing
+
+	// for Read, of which one runs at a time
+	buf  []byte
+	open func() error // mayRead
+	took func(n int)  // hasRead
 }
 
-// Read implements net.Conn. Bytes are taken from the kernel under the lock, so
-// that whether the connection ends is decided either before or after: a request
-// whose bytes were taken counts as taken, and to close on it would lose it. One
-// that is still unread when the node closes is sent again by its client, which
-// the kernel tells by a reset.
-func (k *clientConn) Read(b []byte) (n int, err error) {
-	failed := k.raw.Read(func(fd uintptr) (done bool) {
-		k.all.mu.Lock()
-		defer k.all.mu.Unlock()
-		if k.gone {
-			err = net.ErrClosed
-			return true
-		}
-		for err = syscall.EINTR; err == syscall.EINTR; {
-			n, err = syscall.Read(int(fd), b)
-		}
-		if n > 0 {
-			k.begin()
-			k.next = k.next || k.whole
-			k.framing.read(b[:n])
-		}
-		return err != syscall.EAGAIN
-	})
-	switch {
-	case failed != nil:
-		n, err = 0, failed
-	case err == nil && n == 0 && len(b) > 0:
-		err = io.EOF
-	case err != nil:
-		n, err = 0, &net.OpError{Op: "read", Net: "tcp", Source: k.LocalAddr(), Addr: k.RemoteAddr(), Err: err}
-	}
+// Read implements net.Conn. Bytes are taken under the lock, so that whether the
+// connection ends is decided either before or after: a request whose bytes were
+// taken counts as taken, and to close on it would lose it. One that is still
+// unread when the node closes is sent again by its client, which the kernel
+// tells by a reset.
+func (k *clientConn) Read(b []byte) (int, error) {
+	k.buf = b
+	n, err := k.ReadGate(b, &k.all.mu, k.open, k.took)
 	k.life.read(err, "client-closed", "client-reset")
 	return n, err
 }
 
+// mayRead says whether a read may go on. The lock is held.
+func (k *clientConn) mayRead() error {
+	if k.gone {
+		return net.ErrClosed
+	}
+	return nil
+}
+
+// hasRead notes that n bytes were read. The lock is held.
+func (k *clientConn) hasRead(n int) {
+	k.begin()
+	k.next = k.next || k.whole
+	k.framing.read(k.buf[:n])
+}
+
 // requestBegins notes that a request's head was read, and reports whether it
 // may be served. A pipelined one was read along with the request before it, so
 // that its connection counted as idle until now, and may have been ended.
@@ -379,15 +372,6 @@
 	return n, err
 }
 
-// CloseWrite lets http.Server end a connection on which bytes are still unread
-// without a reset, which could overtake the answer.
-func (k *clientConn) CloseWrite() error {
-	if c, ok := k.Conn.(interface{ CloseWrite() error }); ok {
-		return c.CloseWrite()
-	}
-	return nil
-}
-
 // Close implements net.Conn.
 func (k *clientConn) Close() error {
 	reason := "node-closed"
--- /dev/null
+++ b/internal/transport/conn.go
@@ -0,0 +1,60 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+)
+
+// Conn is what fronts and carriers ask of a connection beyond net.Conn. Sockets are wrapped to give it,
+// a network that is none brings connections with it; so nothing else here knows which of them carries
+// the bytes.
+type Conn interface {
+	net.Conn
+	// CloseWrite ends the sending: the other side reads to the end and may still answer.
+	CloseWrite() error
+	// ReadGate reads like Read, but takes the bytes under a lock: each time bytes or an end may be there to
+	// be taken, it locks mu and asks open. On nil it takes them, calls took with their number if there are
+	// any, and unlocks; any error of open's is returned, and nothing is taken. One call runs at a time.
+	ReadGate(b []byte, mu sync.Locker, open func() error, took func(n int)) (int, error)
+	// Peek says what there is to read and takes nothing: n > 0: bytes wait; 0 and nil: the other side has
+	// ended; syscall.EAGAIN: nothing is there; any other error: the connection is broken.
+	Peek() (n int, err error)
+}
+
+// Dialer opens connections to addresses of the form host:port, until ctx ends.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
+// dial opens a connection; nil dials TCP.
+func (d Dialer) dial(ctx context.Context, addr string) (Conn, error) {
+	if d == nil {
+		d = dialTCP
+	}
+	conn, err := d(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	c, err := connOf(conn)
+	if err != nil {
+		conn.Close()
+	}
+	return c, err
+}
+
+// connOf gives a connection what Conn asks.
+func connOf(conn net.Conn) (Conn, error) {
+	switch c := conn.(type) {
+	case Conn:
+		return c, nil
+	case *net.TCPConn:
+		return newSocket(c)
+	}
+	return nil, fmt.Errorf("connection: %T can neither be peeked at nor read under a lock", conn)
+}
+
+// unread reports whether bytes wait to be read from a connection.
+func unread(c Conn) bool {
+	n, _ := c.Peek()
+	return n > 0
+}
--- a/internal/transport/life.go
+++ b/internal/transport/life.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -36,10 +37,10 @@
 }
 
 // read notes what a failed read tells: the other side's end, or a break. A
-// deadline set to stop a read tells nothing.
+// deadline set to stop a read tells nothing, nor does this side's own end.
 func (l *life) read(err error, closed, broke string) {
 	switch {
-	case err == nil || errors.Is(err, os.ErrDeadlineExceeded):
+	case err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed):
 	case errors.Is(err, io.EOF):
 		l.because(closed)
 	default:
--- a/internal/transport/peerconn.go
+++ b/internal/transport/peerconn.go
@@ -1,9 +1,7 @@
 package transport
 
 import (
-	"cmp"
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
@@ -12,7 +10,7 @@
 
 // peerConn is a connection to a peer, or to discovery. One try at a time uses it.
 type peerConn struct {
-	net.Conn
+	Conn
 	life   *life
 	peer   *routing.Peer
 	freed  time.Time // when it fell idle
@@ -47,7 +45,7 @@
 // stale says why an idle connection cannot carry a try; "": it can. Whatever
 // there is to read belongs to no request that is still to be sent.
 func (c *peerConn) stale() string {
-	switch n, err := peek(c.Conn); {
+	switch n, err := c.Peek(); {
 	case errors.Is(err, syscall.EAGAIN):
 		return ""
 	case err != nil:
@@ -58,27 +56,3 @@
 		return "surplus"
 	}
 }
-
-// unread reports whether bytes wait to be read from a connection.
-func unread(conn net.Conn) bool {
-	n, _ := peek(conn)
-	return n > 0
-}
-
-// peek asks the kernel what there is to read, and takes nothing: 0 bytes mean
-// that the other side has ended, syscall.EAGAIN that there is nothing.
-func peek(conn net.Conn) (n int, err error) {
-	s, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0, syscall.EAGAIN
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var failed error
-	err = raw.Control(func(fd uintptr) {
-		n, _, failed = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n, cmp.Or(err, failed)
-}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -30,6 +29,7 @@
 type pool struct {
 	settle time.Duration
 	log    *slog.Logger
+	dial   Dialer
 
 	mu       sync.Mutex
 	connect  time.Duration // a connection that comes later has not come
@@ -53,8 +53,9 @@
 	if !ok {
 		return nil, errNoRoom
 	}
-	d := net.Dialer{Timeout: connect, KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", peer.Addr)
+	ctx, stop := context.WithTimeout(ctx, connect)
+	defer stop()
+	conn, err := p.dial.dial(ctx, peer.Addr)
 	if err != nil {
 		p.release()
 		return nil, err
--- /dev/null
+++ b/internal/transport/socket.go
@@ -0,0 +1,88 @@
+package transport
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// socket is a Conn over TCP. What net.TCPConn does not offer is asked of the kernel, here alone.
+type socket struct {
+	*net.TCPConn
+	raw syscall.RawConn
+
+	// of the one ReadGate that runs; kept here, since it is called for every
+	// request and would allocate each of them
+	b    []byte
+	mu   sync.Locker
+	open func() error
+	took func(n int)
+	take func(fd uintptr) bool // takeGated
+	n    int
+	shut error // open's
+	err  error // the kernel's
+}
+
+func newSocket(c *net.TCPConn) (*socket, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("connection: %w", err)
+	}
+	s := &socket{TCPConn: c, raw: raw}
+	s.take = s.takeGated
+	return s, nil
+}
+
+// dialTCP is the Dialer of nodes on sockets. Keep-alive probes are off: what
+// falls silent is noticed by its tries, and earlier.
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// ReadGate implements Conn.
+func (s *socket) ReadGate(b []byte, mu sync.Locker, open func() error, took func(n int)) (int, error) {
+	s.b, s.mu, s.open, s.took, s.n, s.shut, s.err = b, mu, open, took, 0, nil, nil
+	failed := s.raw.Read(s.take)
+	s.b = nil
+	switch {
+	case s.shut != nil:
+		return 0, s.shut
+	case failed != nil:
+		return 0, failed
+	case s.err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: s.LocalAddr(), Addr: s.RemoteAddr(), Err: s.err}
+	case s.n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	return s.n, nil
+}
+
+// takeGated takes what there is to read, and says whether the read is done.
+func (s *socket) takeGated(fd uintptr) (done bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shut = s.open(); s.shut != nil {
+		return true
+	}
+	for s.err = syscall.EINTR; s.err == syscall.EINTR; {
+		s.n, s.err = syscall.Read(int(fd), s.b)
+	}
+	if s.n > 0 {
+		s.took(s.n)
+	}
+	return s.err != syscall.EAGAIN
+}
+
+// Peek implements Conn.
+func (s *socket) Peek() (n int, err error) {
+	var failed error
+	err = s.raw.Control(func(fd uintptr) {
+		n, _, failed = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n, cmp.Or(err, failed)
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -16,6 +16,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -304,6 +305,15 @@
 	}
 }
 
+// pipe is a Conn that nothing waits on unless it is read.
+type pipe struct{ net.Conn }
+
+func (pipe) CloseWrite() error  { return nil }
+func (pipe) Peek() (int, error) { return 0, syscall.EAGAIN }
+func (pipe) ReadGate([]byte, sync.Locker, func() error, func(int)) (int, error) {
+	panic("not a client's")
+}
+
 // TestLastByteNotWritten: a connection that breaks before the request's last
 // byte was written proves that it never ran; one that breaks after does not.
 func TestLastByteNotWritten(t *testing.T) {
@@ -311,7 +321,7 @@
 		near, far := net.Pipe() // which takes a byte only as it is read
 		k, l := newCarrier(time.Second)
 		p := routing.NewPeer(1, "", "")
-		k.pool.put(&peerConn{Conn: near, peer: p, life: newLife(l.log(), "peer", "", k.pool.release)})
+		k.pool.put(&peerConn{Conn: pipe{near}, peer: p, life: newLife(l.log(), "peer", "", k.pool.release)})
 		go func() {
 			if whole {
 				http.ReadRequest(bufio.NewReader(far))
@@ -748,6 +758,19 @@
 	}
 }
 
+// TestForeignConnection: a connection that cannot be read under a lock is no
+// client's: a close could cross its request.
+func TestForeignConnection(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	if c, err := Dialer(func(context.Context, string) (net.Conn, error) { return near, nil }).dial(t.Context(), ""); err == nil {
+		t.Errorf("%T was taken", c)
+	}
+	if _, err := near.Write([]byte("x")); err != io.ErrClosedPipe {
+		t.Errorf("it is left open: %v", err)
+	}
+}
+
 // TestClientsBounded: one connection too many closes the one idle for longest.
 func TestClientsBounded(t *testing.T) {
 	addr, _, log := newFront(t, 2, nil)
@@ -841,7 +864,7 @@
 		<-r.Context().Done()
 	}))
 	defer s.Close()
-	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, 1, slog.New(slog.DiscardHandler))
+	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, 1, nil, slog.New(slog.DiscardHandler))
 	w.wait, w.slack = 20*time.Millisecond, 20*time.Millisecond
 	if err := w.Watch(t.Context(), nil); err == nil || len(asked) != 1+watchAgain {
 		t.Errorf("%v after %d calls, want %d", err, len(asked), 1+watchAgain)
@@ -884,7 +907,7 @@
 		io.WriteString(w, a)
 	}))
 	defer s.Close()
-	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, -1, slog.New(slog.DiscardHandler))
+	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, -1, nil, slog.New(slog.DiscardHandler))
 	w.again = 1
 	var kinds []brain.ListKind
 	for range 4 { // the malformed list, the second in a row; the 503s; what is no JSON, twice
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,9 @@
 	maxList = 8 << 20
 )
 
+// watchConnect is how long a connection to discovery may take to come up.
+const watchConnect = time.Second
+
 // Watch follows the upstream group at discovery. One Watch call runs at a time.
 type Watch struct {
 	addr    string
@@ -38,26 +42,36 @@
 	wait    time.Duration
 	slack   time.Duration
 	again   int // calls in a row that may break
+	running atomic.Pointer[context.Context]
 }
 
 // NewWatch makes a watch that goes on from a known version, or from none if
-// that is negative.
-func NewWatch(addr string, names protocol.Names, version int64, log *slog.Logger) *Watch {
-	dialer := net.Dialer{Timeout: time.Second}
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &peerConn{Conn: conn, life: newLife(log, "discovery", addr, func() {})}, nil
-	}
-	return &Watch{addr: addr, names: names, version: version, wait: watchWait, slack: watchSlack, again: watchAgain, client: &http.Client{
+// that is negative. A nil dialer dials TCP.
+func NewWatch(addr string, names protocol.Names, version int64, dial Dialer, log *slog.Logger) *Watch {
+	w := &Watch{addr: addr, names: names, version: version, wait: watchWait, slack: watchSlack, again: watchAgain}
+	w.client = &http.Client{
 		Transport: &http.Transport{
-			DialContext:        dial,
 			DisableCompression: true,
+			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+				return w.connect(ctx, dial, addr, log)
+			},
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
+	return w
+}
+
+// connect opens a connection. http.Transport goes on dialing once whoever
+// wanted the connection has gone; here that ends with the watch.
+func (w *Watch) connect(ctx context.Context, dial Dialer, addr string, log *slog.Logger) (net.Conn, error) {
+	ctx, stop := context.WithTimeout(ctx, watchConnect)
+	defer stop()
+	defer context.AfterFunc(*w.running.Load(), stop)()
+	conn, err := dial.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &peerConn{Conn: conn, life: newLife(log, "discovery", addr, func() {})}, nil
 }
 
 // errRefused is an answer of discovery's that it made on purpose.
@@ -65,9 +79,14 @@
 
 // Watch implements routing.Watcher: each call follows the last answer at once.
 // A call that never came back, or broke, is asked again at once, on a new
-// connection, for what it should have told counts as told; one broken call too many in a
-// row, or one that discovery refused, ends the watch.
+// connection, for what it should have told counts as told. One broken call too
+// many in a row, or one that discovery refused, ends the watch, and its
+// connections with it.
 func (w *Watch) Watch(ctx context.Context, told func(routing.Group)) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer w.client.CloseIdleConnections()
+	defer stop()
+	w.running.Store(&ctx)
 	broken := 0
 	for {
 		g, version, err := w.call(ctx)
