Build an instance in internal/node, and leave nothing behind at its end

Try carries the numbers of its call and attempt. Which slow client makes room no longer hangs on map order.

--- a/cmd/olivebridge/main_test.go
+++ b/cmd/olivebridge/main_test.go
@@ -38,8 +38,8 @@
 "probes":false,"retry_after":true,"second_copies":true,"try_limit":4},"n_instances":1,"kinds":["m1"],
 "tenants":[{"name":"acme","share":1}],"weights":"nominal","worth_by":"request","zone":0,"zones":["a"]}}`
 
-// node is a running program.
-type node struct {
+// process is a running program.
+type process struct {
 	cmd    *exec.Cmd
 	addr   string
 	log    io.Closer
@@ -64,7 +64,7 @@
 }
 
 // start runs a node before peers, of which each but the first has only just started.
-func start(t *testing.T, discovery http.HandlerFunc, peers ...http.HandlerFunc) *node {
+func start(t *testing.T, discovery http.HandlerFunc, peers ...http.HandlerFunc) *process {
 	t.Helper()
 	list := httptest.NewServer(discovery)
 	t.Cleanup(list.Close)
@@ -78,7 +78,7 @@
 		started = time.Now().UnixMilli()
 	}
 	env := environment(t, "127.0.0.1:0", list.Listener.Addr().String(), fmt.Sprintf(config, strings.Join(known, ",")))
-	n := &node{lines: make(chan string, 1000), config: strings.TrimPrefix(env[3], "ROUTER_CONFIG=")}
+	n := &process{lines: make(chan string, 1000), config: strings.TrimPrefix(env[3], "ROUTER_CONFIG=")}
 	n.cmd = program(t, env...)
 	out, err := n.cmd.StderrPipe()
 	if err != nil {
@@ -102,7 +102,7 @@
 func unchanged(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
 // until waits for a line that holds text.
-func (n *node) until(t *testing.T, text string) string {
+func (n *process) until(t *testing.T, text string) string {
 	t.Helper()
 	for line := range n.lines {
 		if strings.Contains(line, text) {
@@ -116,7 +116,7 @@
 // ids gives each request one of its own.
 var ids atomic.Int64
 
-func (n *node) ask(t *testing.T, method, target, class, body string) (int, string) {
+func (n *process) ask(t *testing.T, method, target, class, body string) (int, string) {
 	t.Helper()
 	req, err := http.NewRequest(method, "http://"+n.addr+target, strings.NewReader(body))
 	if err != nil {
--- /dev/null
+++ b/internal/node/limits.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"olivebridge/internal/protocol"
+	"olivebridge/internal/transport"
+)
+
+// spareDescriptors are kept for discovery, the log and the runtime.
+const spareDescriptors = 64
+
+// descriptors is how many each side may hold, clients and peers.
+func descriptors(c *protocol.Config) int { return max((c.Sockets-spareDescriptors)/2, 8) }
+
+// clientBounds keeps idle client connections well under the third of the
+// descriptors that clients may hold.
+func clientBounds(c *protocol.Config) transport.ClientBounds {
+	return transport.ClientBounds{Open: descriptors(c), Idle: c.Sockets / 4}
+}
+
+// answerPart is the part of the memory that one answer may take. Peers have been
+// seen to send several times the 64 KiB of the protocol; to fail such answers
+// sends their calls to one peer after the other.
+const answerPart = 64
+
+func (n *Node) carrierConfig(c *protocol.Config) transport.CarrierConfig {
+	return transport.CarrierConfig{ConnectTimeout: c.ConnectTimeout, IdleClose: c.IdleClose,
+		DrainGrace: c.Settings.DrainGrace, MaxConns: descriptors(c), MaxAnswer: c.MemoryMB << 20 / answerPart,
+		Dial: n.parts.Dial, Log: n.log}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,130 @@
+// Package node builds one instance of the load balancer from its parts: a
+// front, the decisions, a carrier and a watch, over whatever network it is
+// given. It knows no environment, no signal and no limit of its machine; those
+// are the program's.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+
+	"olivebridge/internal/protocol"
+	"olivebridge/internal/routing"
+	"olivebridge/internal/transport"
+)
+
+// Parts are what an instance stands on. The zero value is a node on TCP that
+// logs nothing.
+type Parts struct {
+	Listen func(addr string) (net.Listener, error)                  // nil: TCP
+	Dial   func(ctx context.Context, addr string) (net.Conn, error) // nil: TCP
+	Wrap   func(routing.Carrier) routing.Carrier                    // around the node's own; nil: nothing
+	Log    *slog.Logger                                             // must not block; nil: none
+}
+
+// Node is a running instance.
+type Node struct {
+	parts   Parts
+	log     *slog.Logger
+	carrier *transport.Carrier
+	router  *routing.Router
+	front   *transport.Front
+	stop    context.CancelFunc // ends the decisions and all that they started
+	running sync.WaitGroup     // front and decisions
+	failed  chan error
+
+	mu     sync.Mutex
+	config *protocol.Config
+}
+
+// Start listens and begins to serve. Connections that it is given must be
+// transport.Conns, or TCP's.
+func Start(c *protocol.Config, p Parts) (*Node, error) {
+	listen := p.Listen
+	if listen == nil {
+		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	listener, err := listen(c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	n := &Node{parts: p, log: p.Log, config: c, failed: make(chan error, 2)}
+	if n.log == nil {
+		n.log = slog.New(slog.DiscardHandler)
+	}
+	n.carrier = transport.NewCarrier(n.carrierConfig(c))
+	carrier := routing.Carrier(n.carrier)
+	if p.Wrap != nil {
+		carrier = p.Wrap(carrier)
+	}
+	n.router = routing.New(routing.Config{
+		Settings: c.Settings, Seed: c.Seed, Known: c.Known, Carrier: carrier,
+		Watcher: n.newWatch(c, c.KnownVersion), Log: n.log,
+	})
+	n.front = transport.NewFront(listener, c.Names, n.router, clientBounds(c), n.log)
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.run(func() error { return n.router.Run(ctx) })
+	n.run(n.front.Serve)
+	n.log.Info("started", "name", c.Name, "listen", listener.Addr().String(), "peers", len(c.Known.Entries),
+		"version", c.KnownVersion)
+	return n, nil
+}
+
+func (n *Node) run(f func() error) {
+	n.running.Go(func() {
+		if err := f(); err != nil {
+			n.failed <- err
+		}
+	})
+}
+
+// Failed tells why front or decisions ended by themselves. The node is of no
+// further use then.
+func (n *Node) Failed() <-chan error { return n.failed }
+
+// Drain is the planned end: the node serves on until nothing is open, for as
+// long as any call may take. It returns once nothing of the node is left: no
+// connection, goroutine or timer. Abort cuts it short.
+func (n *Node) Drain() {
+	n.mu.Lock()
+	longest := n.config.LongestDeadline
+	n.mu.Unlock()
+	n.front.Drain(longest)
+	n.stop()
+	n.running.Wait()
+	n.carrier.Close()
+}
+
+// Abort ends everything at once, and no open call gets an answer. It waits for
+// nothing: goroutines of the node end as they find its connections closed.
+func (n *Node) Abort() {
+	n.front.Abort()
+	n.stop()
+	n.carrier.Close()
+}
+
+// Reload takes changed configuration, which has passed Config.Reload. Calls in
+// hand go on as before, and so does the watch unless discovery has moved. One
+// Reload runs at a time.
+func (n *Node) Reload(c *protocol.Config) {
+	n.mu.Lock()
+	old := n.config
+	n.config = c
+	n.mu.Unlock()
+	if c.Discovery != old.Discovery {
+		// versions of another discovery need not compare with those held: it is asked for the whole list
+		n.router.Follow(n.newWatch(c, -1))
+	}
+	n.router.Set(c.Settings)
+	n.carrier.Configure(n.carrierConfig(c))
+	n.front.Bound(clientBounds(c))
+	n.log.Info("reloaded", "discovery", c.Discovery)
+}
+
+func (n *Node) newWatch(c *protocol.Config, version int64) *transport.Watch {
+	return transport.NewWatch(c.Discovery, c.Names, version, n.parts.Dial, n.log)
+}
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -51,6 +51,8 @@
 
 // Try is one attempt at a call, on its way to a peer.
 type Try struct {
+	Call    brain.RequestID // never the same for two calls of one node's life
+	Attempt int             // the call's tries count from 0
 	Peer    *Peer
 	Until   time.Time // the carrier stops waiting then
 	Payload any
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,8 @@
 	names  map[string]struct{} // of the open calls
 	lastID brain.RequestID
 	watch  *watch // nil: none runs
+	timers map[*wakeEvent]struct{}
+	tasks  sync.WaitGroup // what spawn started
 }
 
 // New makes a Router; Run starts its decisions.
@@ -59,7 +62,7 @@
 		set: c.Settings, seed: c.Seed, known: c.Known, carrier: c.Carrier, watcher: c.Watcher, log: c.Log,
 		count: new(Counters), start: time.Now(), events: make(chan event, queueLength),
 		stopped: make(chan struct{}), peers: map[brain.ServerID]*Peer{}, open: map[brain.RequestID]*openCall{},
-		names: map[string]struct{}{},
+		names: map[string]struct{}{}, timers: map[*wakeEvent]struct{}{},
 	}
 	r.advice.Store(int64(c.Settings.MaxRetryAfter))
 	return r
@@ -85,9 +88,11 @@
 	return r.start.Add(time.Duration(t - brain.Time(r.start.UnixNano())))
 }
 
-// Run makes the decisions until ctx ends. It returns an error only when the
-// Balancer cannot be made.
+// Run makes the decisions until ctx ends, and returns once all that it started
+// has ended too. It returns an error only when the Balancer cannot be made.
 func (r *Router) Run(ctx context.Context) error {
+	defer r.tasks.Wait()
+	defer r.stopTimers()
 	defer close(r.stopped)
 	r.ctx = ctx
 	var err error
@@ -138,7 +143,9 @@
 // whoever waits for the outcome gets one.
 func (r *Router) spawn(f func(context.Context), failed func()) {
 	ctx := r.ctx
+	r.tasks.Add(1)
 	go func() {
+		defer r.tasks.Done()
 		defer func() {
 			if p := recover(); p != nil {
 				r.count.Panics.Add(1)
@@ -151,9 +158,15 @@
 }
 
 // wakeEvent is a timer of the Balancer's.
-type wakeEvent uint64
+type wakeEvent struct {
+	ref   uint64
+	timer *time.Timer
+}
 
-func (e wakeEvent) handle(r *Router) { r.brain.Wake(r.now(), uint64(e)) }
+func (e *wakeEvent) handle(r *Router) {
+	delete(r.timers, e)
+	r.brain.Wake(r.now(), e.ref)
+}
 
 // setEvent brings changed settings.
 type setEvent struct{ set brain.Settings }
@@ -173,7 +186,15 @@
 
 // SetTimer implements brain.Host.
 func (r *Router) SetTimer(d time.Duration, ref uint64) {
-	time.AfterFunc(d, func() { r.post(wakeEvent(ref)) })
+	e := &wakeEvent{ref: ref}
+	r.timers[e] = struct{}{}
+	e.timer = time.AfterFunc(d, func() { r.post(e) })
+}
+
+func (r *Router) stopTimers() {
+	for e := range r.timers {
+		e.timer.Stop()
+	}
 }
 
 // Log implements brain.Host.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"olivebridge/brain"
@@ -157,7 +159,7 @@
 func TestFullQueue(t *testing.T) {
 	r := newRouter(nil, listed()) // its decisions never start
 	for range queueLength {
-		r.events <- wakeEvent(0)
+		r.events <- &wakeEvent{}
 	}
 	c := call(unsafe, 200*time.Millisecond)
 	if a, ok := r.Take(t.Context(), c); !ok || a.Verdict != Reject || time.Since(c.Arrived) > c.Budget {
@@ -422,3 +424,44 @@
 		t.Errorf("kept: %v", r.peers)
 	}
 }
+
+// TestEnd: once Run returns, nothing that it started is left, and no call waits.
+func TestEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var left atomic.Bool
+		r := newRouter(func(ctx context.Context, try Try) TryResult {
+			<-ctx.Done()
+			time.Sleep(time.Millisecond)
+			left.Store(true)
+			return TryResult{Result: brain.Cancelled}
+		}, listed(7))
+		ctx, stop := context.WithCancel(t.Context())
+		over := make(chan error)
+		go func() { over <- r.Run(ctx) }()
+		waits := make(chan bool)
+		go func() {
+			_, ok := r.Take(t.Context(), call(safe, time.Minute))
+			waits <- ok
+		}()
+		synctest.Wait()
+		if s, err := r.Rest(t.Context()); err != nil || s != (Rest{Calls: 1, Names: 1, Tries: 1, Peers: 1, Timers: 1, Watch: true}) {
+			t.Errorf("%+v, %v", s, err)
+		}
+		began := time.Now()
+		stop()
+		if ok := <-waits; ok || time.Since(began) > 0 {
+			t.Errorf("answered: %v, after %v", ok, time.Since(began))
+		}
+		if err := <-over; err != nil || !left.Load() {
+			t.Errorf("%v, or a try is left behind", err)
+		}
+		for e := range r.timers {
+			if e.timer.Stop() {
+				t.Error("a timer is left")
+			}
+		}
+		if _, err := r.Rest(t.Context()); err == nil {
+			t.Error("decisions that have ended tell what they hold")
+		}
+	})
+}
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -17,10 +17,10 @@
 
 // send is the fourth stage: the carrier takes the try to its peer on a
 // goroutine of its own, and exactly one outcome comes back.
-func (r *Router) send(ctx context.Context, e *openCall, attempt int, t Try) {
+func (r *Router) send(ctx context.Context, t Try) {
 	start := time.Now()
 	over := func(res TryResult) {
-		o := brain.Outcome{ID: e.id, Attempt: attempt, Latency: time.Since(start), Result: res.Result}
+		o := brain.Outcome{ID: t.Call, Attempt: t.Attempt, Latency: time.Since(start), Result: res.Result}
 		if t.Peer != nil {
 			o.Server = t.Peer.ID
 		}
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -57,6 +57,7 @@
 		a = Answer{Verdict: Overdue}
 		ok = true
 	case <-ctx.Done():
+	case <-r.stopped: // the node ends at once, and the client connection with it
 	}
 	r.post(hangUpEvent{e})
 	return a, ok
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -54,8 +54,16 @@
 	k.pool.configure(c.ConnectTimeout, c.IdleClose*7/10, c.MaxConns)
 }
 
-// Close closes the connections that carry nothing.
-func (k *Carrier) Close() { k.pool.drop(func(*peerConn) string { return "idle" }) }
+// Close ends the Carrier. Connections that carry nothing are closed at once,
+// the others with their tries; those to come are moot.
+func (k *Carrier) Close() { k.pool.close() }
+
+// Conns counts the connections to peers, those being opened included.
+func (k *Carrier) Conns() int {
+	k.pool.mu.Lock()
+	defer k.pool.mu.Unlock()
+	return k.pool.open
+}
 
 // Try implements routing.Carrier.
 func (k *Carrier) Try(ctx context.Context, t routing.Try) routing.TryResult {
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -54,10 +55,11 @@
 	max     int // open
 	maxIdle int
 	open    map[*clientConn]bool
-	silent  list.List // nothing has ever been read; the oldest first
-	idle    list.List // the longest idle first
-	closed  bool      // the listener
-	leaving bool      // the node closes what is idle
+	silent  list.List   // nothing has ever been read; the oldest first
+	idle    list.List   // the longest idle first
+	closed  bool        // the listener
+	leaving bool        // the node closes what is idle
+	aborted atomic.Bool // nothing is read or written any more; set under mu
 }
 
 func newClients(l net.Listener, b ClientBounds, log *slog.Logger) *clients {
@@ -90,6 +92,10 @@
 	k.life = newLife(c.log, "client", conn.RemoteAddr().String(), func() { c.forget(k) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.aborted.Load() {
+		conn.Close()
+		return nil, net.ErrClosed
+	}
 	c.open[k] = true
 	k.moveTo(&c.silent)
 	return k, nil
@@ -126,12 +132,16 @@
 	if k = c.longestIdle(); k != nil {
 		return "evicted", k
 	}
-	for k := range c.open {
-		if k.active && !k.whole && !k.gone && now.Sub(k.since) >= slowness && !unread(k.Conn) {
-			return "slow", k
+	for o := range c.open { // the longest, so that which one it is does not hang on chance
+		if o.active && !o.whole && !o.gone && now.Sub(o.since) >= slowness && (k == nil || o.since.Before(k.since)) &&
+			!unread(o.Conn) {
+			k = o
 		}
 	}
-	return "", nil
+	if k == nil {
+		return "", nil
+	}
+	return "slow", k
 }
 
 // longestIdle is the connection idle for the longest that has nothing to be
@@ -202,6 +212,25 @@
 	return len(c.open)
 }
 
+// abort lets no byte be read or written any more, on connections still to come
+// either. Closing them is left to http.Server.
+func (c *clients) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted.Store(true)
+	for k := range c.open {
+		k.gone = true
+		k.moveTo(nil)
+	}
+}
+
+// count says how many are open.
+func (c *clients) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
 // endIdle ends what carries nothing and reports whether there was any. The lock is held.
 func (c *clients) endIdle() bool {
 	var some []*clientConn
@@ -365,6 +394,9 @@
 
 // Write implements net.Conn.
 func (k *clientConn) Write(b []byte) (int, error) {
+	if k.all.aborted.Load() {
+		return 0, net.ErrClosed
+	}
 	n, err := k.Conn.Write(b)
 	if err != nil {
 		k.life.because("client-gone")
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -55,6 +55,8 @@
 	server  *http.Server
 	clients *clients
 	leaving atomic.Bool
+	life    context.Context // ends with Abort
+	end     context.CancelFunc
 	badly   atomic.Int64 // requests answered with a plain 4xx
 	shed    atomic.Int64 // requests turned away for want of descriptors
 }
@@ -62,6 +64,7 @@
 // NewFront makes a front on l.
 func NewFront(l net.Listener, names protocol.Names, taker Taker, b ClientBounds, log *slog.Logger) *Front {
 	f := &Front{names: names, taker: taker, log: log, clients: newClients(l, b, log)}
+	f.life, f.end = context.WithCancel(context.Background())
 	f.server = &http.Server{
 		Handler:   f,
 		ConnState: f.clients.state,
@@ -78,7 +81,7 @@
 	return f
 }
 
-// Serve serves until Drain or Close.
+// Serve serves until Drain or Abort.
 func (f *Front) Serve() error {
 	err := f.server.Serve(f.clients)
 	if f.leaving.Load() || errors.Is(err, http.ErrServerClosed) {
@@ -93,6 +96,9 @@
 // Clients counts the client connections by what they do, as name=value.
 func (f *Front) Clients() string { return f.clients.String() }
 
+// Conns counts the client connections.
+func (f *Front) Conns() int { return f.clients.count() }
+
 // Shed counts the requests turned away for want of descriptors.
 func (f *Front) Shed() int64 { return f.shed.Load() }
 
@@ -101,21 +107,37 @@
 
 // Drain ends the front at a planned restart. Clients still arrive for a while,
 // so it goes on accepting; then it closes client connections as they fall idle,
-// stops accepting, and waits for what is open.
+// stops accepting, and waits for what is open. Abort cuts it short.
 func (f *Front) Drain(longest time.Duration) {
 	f.leaving.Store(true)
-	ctx, stop := context.WithTimeout(context.Background(), longest+drainSpare)
+	ctx, stop := context.WithTimeout(f.life, longest+drainSpare)
 	defer stop()
-	time.Sleep(drainKeep)
+	pause(ctx, drainKeep)
 	f.clients.leave()
-	time.Sleep(drainAccept - drainKeep)
+	pause(ctx, drainAccept-drainKeep)
 	f.clients.Close()
-	if left := f.clients.drain(ctx); left > 0 {
+	if left := f.clients.drain(ctx); left > 0 && f.life.Err() == nil {
 		f.log.Warn("client connections were open at the end", "left", left)
 	}
 	f.server.Close()
 }
 
+// pause waits until the time is up or ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	ctx, stop := context.WithTimeout(ctx, d)
+	defer stop()
+	<-ctx.Done()
+}
+
+// Abort ends the front and all its client connections at once. Nothing further
+// is read, and what is open gets no answer.
+func (f *Front) Abort() {
+	f.leaving.Store(true)
+	f.clients.abort()
+	f.server.Close()
+	f.end()
+}
+
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer func() { // a panic that reached net/http would end the connection without an answer: a lost call
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -15,8 +15,9 @@
 // follows right behind an answer is there by then, and shows.
 const settle = 2 * time.Millisecond
 
-// errNoRoom says that this node may open no further connection.
-var errNoRoom = errors.New("no descriptor left for a connection")
+// errNoRoom says that this node may open no further connection, for want of
+// descriptors or as it ends.
+var errNoRoom = errors.New("no room for a connection")
 
 // pool holds the connections to peers. http.Transport has one of its own, but
 // gives a connection out again before it looks for bytes behind the answer, and
@@ -31,13 +32,14 @@
 	log    *slog.Logger
 	dial   Dialer
 
-	mu       sync.Mutex
-	connect  time.Duration // a connection that comes later has not come
-	keep     time.Duration // how long one may lie idle
-	most     int           // connections, open and being opened
-	open     int
-	idle     map[*routing.Peer][]*peerConn // the longest idle first
-	sweeping bool                          // a sweep is due
+	mu      sync.Mutex
+	connect time.Duration // a connection that comes later has not come
+	keep    time.Duration // how long one may lie idle
+	most    int           // connections, open and being opened
+	open    int
+	idle    map[*routing.Peer][]*peerConn // the longest idle first
+	sweeper *time.Timer                   // the sweep that is due; nil: none is
+	closed  bool                          // none is opened or kept any more
 }
 
 // get returns a connection that carries nothing, or a new one.
@@ -88,14 +90,23 @@
 
 // put takes a connection back that carries nothing any more.
 func (p *pool) put(c *peerConn) {
+	if !p.keeps(c) {
+		c.end("idle")
+	}
+}
+
+func (p *pool) keeps(c *peerConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
 	c.freed = time.Now()
 	p.idle[c.peer] = append(p.idle[c.peer], c)
-	if !p.sweeping {
-		p.sweeping = true
-		time.AfterFunc(p.keep/8, p.sweep)
+	if p.sweeper == nil {
+		p.sweeper = time.AfterFunc(p.keep/8, p.sweep)
 	}
+	return true
 }
 
 // reserve counts a connection to be opened and says how long that may take. At
@@ -119,6 +130,9 @@
 		oldest.end("idle")
 		p.mu.Lock()
 	}
+	if p.closed {
+		return 0, false
+	}
 	p.open++
 	return p.connect, true
 }
@@ -146,11 +160,22 @@
 	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.sweeping = len(p.idle) > 0; p.sweeping {
-		time.AfterFunc(p.keep/8, p.sweep)
+	if p.sweeper = nil; len(p.idle) > 0 {
+		p.sweeper = time.AfterFunc(p.keep/8, p.sweep)
 	}
 }
 
+// close closes what is idle, and from then on whatever is put back.
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	if p.sweeper != nil {
+		p.sweeper.Stop()
+	}
+	p.mu.Unlock()
+	p.drop(func(*peerConn) string { return "idle" })
+}
+
 // drop closes each idle connection for which why gives a reason.
 func (p *pool) drop(why func(*peerConn) string) {
 	ended := map[*peerConn]string{}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -13,11 +13,13 @@
 	"net/http/httptest"
 	"os"
 	"regexp"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"olivebridge/brain"
@@ -400,6 +402,21 @@
 	}
 }
 
+// TestCarrierClose: a carrier that has ended keeps no connection and opens none.
+func TestCarrierClose(t *testing.T) {
+	p, _ := answering(t, ok, ok)
+	k, _ := newCarrier(time.Second)
+	k.Try(t.Context(), tryOf(p, "GET", ""))
+	c := k.pool.take(p)
+	k.Close()
+	if k.pool.put(c); k.Conns() != 0 {
+		t.Errorf("%d connections are left", k.Conns())
+	}
+	if r := k.Try(t.Context(), tryOf(p, "GET", "")); r.Result != brain.Moot {
+		t.Errorf("result %d", r.Result)
+	}
+}
+
 // TestConnectionsBounded: the descriptors run out before the node does, and
 // the try is known not to have run.
 func TestConnectionsBounded(t *testing.T) {
@@ -714,6 +731,17 @@
 	}
 }
 
+// TestAbort: once a front ends at once, no answer leaves, however soon it is there.
+func TestAbort(t *testing.T) {
+	_, front, c, release := withOpenCall(t, 10)
+	front.clients.abort()
+	close(release)
+	if b, err := io.ReadAll(c); len(b) > 0 {
+		t.Errorf("%q, %v", b, err)
+	}
+	front.Abort()
+}
+
 // TestEndAgainstRequest guards against a connection that is closed as idle while
 // its request is being read: served once already, it would be sent again.
 func TestEndAgainstRequest(t *testing.T) {
@@ -771,13 +799,26 @@
 	}
 }
 
+const ready = "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// idle asks on a new connection and waits until it counts as idle, which is
+// shortly after its answer; n do then.
+func (f *Front) idle(t *testing.T, addr string, n int) *client {
+	t.Helper()
+	c := dial(t, addr)
+	c.ask(t, ready)
+	for left := n; left > 0; runtime.Gosched() {
+		f.clients.mu.Lock()
+		left = n - f.clients.idle.Len()
+		f.clients.mu.Unlock()
+	}
+	return c
+}
+
 // TestClientsBounded: one connection too many closes the one idle for longest.
 func TestClientsBounded(t *testing.T) {
-	addr, _, log := newFront(t, 2, nil)
-	ready := "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
-	first, second := dial(t, addr), dial(t, addr)
-	first.ask(t, ready)
-	second.ask(t, ready)
+	addr, front, log := newFront(t, 2, nil)
+	first, second := front.idle(t, addr, 1), front.idle(t, addr, 2)
 	third := dial(t, addr)
 	if _, err := first.in.ReadByte(); err != io.EOF {
 		t.Errorf("the first: %v", err)
@@ -847,12 +888,9 @@
 func TestIdleBound(t *testing.T) {
 	addr, front, log := newFront(t, 10, nil)
 	front.Bound(ClientBounds{Open: 10, Idle: 2})
-	ready := "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
-	first := dial(t, addr)
-	first.ask(t, ready)
-	for range 2 {
-		dial(t, addr).ask(t, ready)
-	}
+	first := front.idle(t, addr, 1)
+	front.idle(t, addr, 2)
+	front.idle(t, addr, 2)
 	log.until("addr="+first.LocalAddr().String(), "reason=evicted")
 }
 
@@ -871,6 +909,25 @@
 	}
 }
 
+// TestWatchEndsItsDialing: http.Transport would go on dialing without it.
+func TestWatchEndsItsDialing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		dialed := make(chan time.Duration)
+		w := NewWatch("d:1", protocol.Names{}, 1, func(ctx context.Context, _ string) (net.Conn, error) {
+			stop()
+			began := time.Now()
+			<-ctx.Done()
+			dialed <- time.Since(began)
+			return nil, ctx.Err()
+		}, slog.New(slog.DiscardHandler))
+		go w.Watch(ctx, func(routing.Group) {})
+		if d := <-dialed; d > 0 {
+			t.Errorf("dialing went on for %v", d)
+		}
+	})
+}
+
 // TestDrainWaits: a call that is still open when the front has stopped
 // accepting keeps its time, and its answer ends its connection.
 func TestDrainWaits(t *testing.T) {
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,36 +41,26 @@
 	wait    time.Duration
 	slack   time.Duration
 	again   int // calls in a row that may break
-	running atomic.Pointer[context.Context]
 }
 
 // NewWatch makes a watch that goes on from a known version, or from none if
 // that is negative. A nil dialer dials TCP.
 func NewWatch(addr string, names protocol.Names, version int64, dial Dialer, log *slog.Logger) *Watch {
-	w := &Watch{addr: addr, names: names, version: version, wait: watchWait, slack: watchSlack, again: watchAgain}
-	w.client = &http.Client{
-		Transport: &http.Transport{
-			DisableCompression: true,
-			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-				return w.connect(ctx, dial, addr, log)
-			},
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	connect := func(ctx context.Context, _, addr string) (net.Conn, error) {
+		ctx, stop := context.WithTimeout(ctx, watchConnect)
+		defer stop()
+		conn, err := dial.dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &peerConn{Conn: conn, life: newLife(log, "discovery", addr, func() {})}, nil
 	}
-	return w
-}
-
-// connect opens a connection. http.Transport goes on dialing once whoever
-// wanted the connection has gone; here that ends with the watch.
-func (w *Watch) connect(ctx context.Context, dial Dialer, addr string, log *slog.Logger) (net.Conn, error) {
-	ctx, stop := context.WithTimeout(ctx, watchConnect)
-	defer stop()
-	defer context.AfterFunc(*w.running.Load(), stop)()
-	conn, err := dial.dial(ctx, addr)
-	if err != nil {
-		return nil, err
+	client := &http.Client{
+		Transport:     &http.Transport{DialContext: connect, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &peerConn{Conn: conn, life: newLife(log, "discovery", addr, func() {})}, nil
+	return &Watch{addr: addr, names: names, client: client, version: version,
+		wait: watchWait, slack: watchSlack, again: watchAgain}
 }
 
 // errRefused is an answer of discovery's that it made on purpose.
@@ -83,10 +72,7 @@
 // many in a row, or one that discovery refused, ends the watch, and its
 // connections with it.
 func (w *Watch) Watch(ctx context.Context, told func(routing.Group)) error {
-	ctx, stop := context.WithCancel(ctx)
-	defer w.client.CloseIdleConnections()
-	defer stop()
-	w.running.Store(&ctx)
+	defer w.client.CloseIdleConnections() // and what is still dialed, for a call that was given up
 	broken := 0
 	for {
 		g, version, err := w.call(ctx)
