Refuse Connection options that take the platform's headers from a try

A request with "Connection: X-Call-Id" made the node take the platform's own header for a hop-by-hop one, so that its try reached the peer without an id; likewise class, caller, budget, mark and info. Such a request, and one that names Host, Content-Length or Transfer-Encoding, now gets a 400 and no try. So does a header like X_Call_Id, which many servers read as a second X-Call-Id. Lawful options still take their own headers from the try.

--- a/internal/protocol/names.go
+++ b/internal/protocol/names.go
@@ -12,10 +12,21 @@
 	HeaderCaller   = "X-Caller"
 	HeaderBudget   = "X-Budget"
 	HeaderAgain    = "X-Again"
+	HeaderInfo     = "X-Call-Info"
 	HeaderRejected = "X-Rejected"
 	KeyParameter   = "user"
 )
 
+// Owned reports whether a header, in canonical form, is one that calls carry
+// for the platform.
+func Owned(name string) bool {
+	switch name {
+	case HeaderID, HeaderClass, HeaderCaller, HeaderBudget, HeaderAgain, HeaderInfo:
+		return true
+	}
+	return false
+}
+
 // The platform's paths.
 const (
 	PathReady = "/health/ready" // at a node
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -196,6 +196,9 @@
 		// net/url would write such a target in another form than it came
 		return routing.Call{}, http.StatusBadRequest, errors.New("target: begins with no slash, or with two")
 	}
+	if err := checkHead(r); err != nil {
+		return routing.Call{}, http.StatusBadRequest, err
+	}
 	call, err := f.names.ParseCall(func(name string) []string { return r.Header[name] }, r.URL.RawQuery)
 	if err != nil {
 		return call, http.StatusBadRequest, err
--- a/internal/transport/message.go
+++ b/internal/transport/message.go
@@ -7,7 +7,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"net/textproto"
 	"strings"
 
 	"olivebridge/internal/protocol"
@@ -31,7 +30,7 @@
 	out := maps.Clone(h)
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+			delete(out, canonical(strings.TrimSpace(name)))
 		}
 	}
 	for _, name := range []string{"Connection", "Content-Length", "Expect", "Keep-Alive", "Proxy-Authenticate",
