--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -29,6 +29,9 @@
 	maxList = 8 << 20
 )
 
+// watchConnect is how long a connection to discovery may take to come up.
+const watchConnect = time.Second
+
 // Watch follows the upstream group at discovery. One Watch call runs at a time.
 type Watch struct {
 	addr    string
@@ -41,23 +44,23 @@
 }
 
 // NewWatch makes a watch that goes on from a known version, or from none if
-// that is negative.
-func NewWatch(addr string, names protocol.Names, version int64, log *slog.Logger) *Watch {
-	dialer := net.Dialer{Timeout: time.Second}
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, addr)
+// that is negative. A nil dialer dials TCP.
+func NewWatch(addr string, names protocol.Names, version int64, dial Dialer, log *slog.Logger) *Watch {
+	connect := func(ctx context.Context, _, addr string) (net.Conn, error) {
+		ctx, stop := context.WithTimeout(ctx, watchConnect)
+		defer stop()
+		conn, err := dial.dial(ctx, addr)
 		if err != nil {
 			return nil, err
 		}
 		return &peerConn{Conn: conn, life: newLife(log, "discovery", addr, func() {})}, nil
 	}
-	return &Watch{addr: addr, names: names, version: version, wait: watchWait, slack: watchSlack, again: watchAgain, client: &http.Client{
-		Transport: &http.Transport{
-			DialContext:        dial,
-			DisableCompression: true,
-		},
+	client := &http.Client{
+		Transport:     &http.Transport{DialContext: connect, DisableCompression: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
+	return &Watch{addr: addr, names: names, client: client, version: version,
+		wait: watchWait, slack: watchSlack, again: watchAgain}
 }
 
 // errRefused is an answer of discovery's that it made on purpose.
@@ -65,9 +68,11 @@
 
 // Watch implements routing.Watcher: each call follows the last answer at once.
 // A call that never came back, or broke, is asked again at once, on a new
-// connection, for what it should have told counts as told; one broken call too many in a
-// row, or one that discovery refused, ends the watch.
+// connection, for what it should have told counts as told. One broken call too
+// many in a row, or one that discovery refused, ends the watch, and its
+// connections with it.
 func (w *Watch) Watch(ctx context.Context, told func(routing.Group)) error {
+	defer w.client.CloseIdleConnections() // and what is still dialed, for a call that was given up
 	broken := 0
 	for {
 		g, version, err := w.call(ctx)
