Play scripts on the node's own code: the stage, its trace and its settings

Need: the parts of the lab stood alone; nothing played a script. Change: package stage builds the network, the world and the nodes of a script in a bubble, spreads what one decision sets off over some nanoseconds, lets the faults happen, asks the nodes at rest what they hold, and hands all that crosses to the trace and the judge. internal/node takes a wrapper of its watches for this. Workers collect garbage less often.

--- a/cmd/olivelab/sources.go
+++ b/cmd/olivelab/sources.go
@@ -1,19 +1,43 @@
 package main
 
 import (
-	"errors"
+	"io"
+	"testing"
 
 	"olivebridge/internal/lab/campaign"
 	"olivebridge/internal/lab/fault"
+	"olivebridge/internal/lab/rules"
+	"olivebridge/internal/lab/stage"
 )
 
 // sources wires the campaigns to the scripts and the stage.
 func sources() campaign.Sources {
+	logged := func(log io.Writer) campaign.Player {
+		return func(t *testing.T, s *fault.Script, w io.Writer) stage.Result {
+			return stage.Play(t, s, stage.Options{Trace: w, Log: log})
+		}
+	}
+	var kinds []string
+	for _, k := range fault.KindTable() {
+		kinds = append(kinds, k.Name)
+	}
 	return campaign.Sources{
-		Scenario: func(string) (campaign.Draw, error) { return nil, errNoStage },
-		Parse:    func(string, []byte) (*fault.Script, error) { return nil, errNoStage },
+		Play: logged(nil), Logged: logged, Scenario: scenario, Parse: fault.Parse,
+		Write: (*fault.Script).Write, Smaller: (*fault.Script).Smaller,
+		Kinds: (*fault.Script).Kinds, Pairs: (*fault.Script).Pairs, AllKinds: kinds,
+		Rules: append(rules.Names(), campaign.RuleHang),
 	}
 }
 
-// errNoStage is what all runs end with until the stage is wired here.
-var errNoStage = errors.New("this build has no stage to play on")
+// scenario reads what seeds draw from.
+func scenario(path string) (campaign.Draw, error) {
+	read := fault.Default
+	if path != "" {
+		read = func() (*fault.Scenario, error) { return fault.LoadScenario(path) }
+	}
+	sc, err := read()
+	if err != nil {
+		return nil, err
+	}
+	return func(seed uint64) *fault.Script { return fault.Draw(seed, sc) }, nil
+}
--- a/internal/lab/campaign/worker.go
+++ b/internal/lab/campaign/worker.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -31,6 +32,7 @@
 // testing/synctest wants a *testing.T, so the life goes on inside testing.Main, which the
 // standard library keeps for programs that bring their own tests.
 func Work(s Sources) {
+	debug.SetGCPercent(400) // a worker is small, and eight of them are not much
 	testing.Init()
 	// The real line is not for package testing.
 	if err := flag.CommandLine.Parse([]string{"-test.timeout=0"}); err != nil {
--- a/internal/lab/link/tap.go
+++ b/internal/lab/link/tap.go
@@ -1,9 +1,11 @@
 package link
 
 import (
-	"fmt"
-	"strings"
+	"bytes"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Tap sees all that crosses the network, in order: it is how a run is traced
@@ -42,28 +44,29 @@
 }
 
 // String is the line of a trace: one for each crossing.
-func (c Crossing) String() string {
-	way := ">"
+func (c Crossing) String() string { return string(c.Append(nil)) }
+
+// shown is how much of what crosses a line shows; a hash stands for the rest.
+const shown = 80
+
+// Append appends the line.
+func (c Crossing) Append(b []byte) []byte {
+	b = strconv.AppendFloat(b, c.At.Seconds(), 'f', 9, 64)
+	b = append(append(b, ' '), c.Conn...)
 	if c.Back {
-		way = "<"
+		b = append(b, " < "...)
+	} else {
+		b = append(b, " > "...)
 	}
-	var b strings.Builder
-	fmt.Fprintf(&b, "%.9f %s %s %s", c.At.Seconds(), c.Conn, way, c.What)
+	b = append(b, c.What.String()...)
 	if c.Data != nil {
-		head, _, _ := strings.Cut(string(c.Data[:min(len(c.Data), 80)]), "\r\n")
-		fmt.Fprintf(&b, " %d %016x %q", len(c.Data), sum(c.Data), head)
+		head, _, _ := bytes.Cut(c.Data[:min(len(c.Data), shown)], []byte("\r\n"))
+		b = strconv.AppendInt(append(b, ' '), int64(len(c.Data)), 10)
+		b = strconv.AppendUint(append(b, ' '), xxhash.Sum64(c.Data), 16)
+		b = strconv.AppendQuoteToASCII(append(b, ' '), string(head))
 	}
 	if c.Note != "" {
-		fmt.Fprintf(&b, " %s", c.Note)
-	}
-	return b.String()
-}
-
-// sum tells bytes apart in a trace (FNV-1a).
-func sum(b []byte) uint64 {
-	h := uint64(14695981039346656037)
-	for _, c := range b {
-		h = (h ^ uint64(c)) * 1099511628211
+		b = append(append(b, ' '), c.Note...)
 	}
-	return h
+	return b
 }
--- /dev/null
+++ b/internal/lab/stage/settings.go
@@ -0,0 +1,77 @@
+package stage
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"olivebridge/internal/lab/figure"
+	"olivebridge/internal/lab/world"
+)
+
+// object is a JSON object with the platform's names.
+type object = map[string]any
+
+// nodeFile writes the configuration file of a node, as the platform would:
+// discovery is where it looks for its upstream group, known the list that it
+// had last, seed the one of this start.
+func nodeFile(c *world.Config, n world.Node, discovery string, known []byte, seed uint64) ([]byte, error) {
+	var quotas []object
+	for _, t := range c.Tenants {
+		quotas = append(quotas, object{"name": t.Name, "share": t.Share, "quota_per_s": t.Quota})
+	}
+	var classes []object
+	for _, k := range c.Classes {
+		classes = append(classes, class(k))
+	}
+	var kinds []string
+	for _, p := range c.Peers {
+		if !slices.Contains(kinds, p.Kind) {
+			kinds = append(kinds, p.Kind)
+		}
+	}
+	slices.Sort(kinds)
+	k := c.Contract
+	file := object{
+		"name": n.Name, "listen": n.Name + ":" + nodePort, "discovery": discovery,
+		"seed":   fmt.Sprintf("%016x", seed),
+		"limits": object{"cores": 1.0, "memory_mb": n.MemoryMB, "sockets": n.Sockets},
+		"known":  json.RawMessage(known),
+		"settings": object{
+			"n_instances": len(c.Nodes), "worth_by": "request", "over_share_worth": k.OverShareWorth,
+			"weights": "nominal", "discovery": "subscribe",
+			"zones": c.Zones, "zone": max(slices.Index(c.Zones, n.Zone), 0), "kinds": kinds,
+			"classes": classes, "tenants": quotas,
+			"contract": object{
+				"ask_every": ns(k.AskEvery), "cold": ns(k.Cold), "cold_share": k.ColdShare,
+				"drain_grace": ns(k.DrainGrace), "fall": ns(k.Fall), "overload_factor": k.Overload,
+				"dropped_stay_open": k.DroppedStay,
+			},
+			"limits": object{
+				"try_limit": k.TryLimit, "probes": k.Probes, "cancel": true, "second_copies": k.SecondCopies,
+				"retry_after": k.RetryAfter, "max_retry_after": ns(k.MaxRetryAfter),
+				"connect_timeout": ns(k.ConnectTimeout), "idle_close": ns(k.IdleClose),
+			},
+			"prices": object{"cross_zone": k.CrossPrice, "probe": k.ProbePrice},
+		},
+	}
+	data, err := json.Marshal(file)
+	if err != nil {
+		return nil, fmt.Errorf("configuration of %s: %w", n.Name, err)
+	}
+	return data, nil
+}
+
+func class(k world.Class) object {
+	o := object{
+		"name": k.Name, "aim": ns(k.Aim), "deadline": ns(k.Deadline), "gain": k.Worth, "late_worth": 0.0,
+		"idempotency": "side_effect", "stream": false,
+	}
+	if k.Safe {
+		o["idempotency"] = "pure"
+	}
+	return o
+}
+
+// ns is a span as the settings write it.
+func ns(s figure.Span) int64 { return int64(s) }
--- /dev/null
+++ b/internal/lab/stage/spread.go
@@ -0,0 +1,53 @@
+package stage
+
+import (
+	"context"
+	"time"
+
+	"olivebridge/brain"
+	"olivebridge/internal/routing"
+)
+
+// lag is a watch whose news comes some nanoseconds late: a call to discovery
+// that began with the node, and was never answered, ends at the very instant of
+// one of its ticks.
+type lag struct{ routing.Watcher }
+
+const lagFor = 3*spreads + 7
+
+// Watch implements routing.Watcher.
+func (w lag) Watch(ctx context.Context, told func(routing.Group)) error {
+	defer time.Sleep(lagFor)
+	return w.Watcher.Watch(ctx, func(g routing.Group) {
+		time.Sleep(lagFor)
+		told(g)
+	})
+}
+
+// spread is a carrier that lets what one decision of a node sets off at one
+// instant begin, and end, some nanoseconds apart: which of two tries takes the
+// one idle connection is then no matter of luck. The nanoseconds are those of
+// the call's number, so that they differ within a node.
+type spread struct {
+	routing.Carrier
+	peers map[string]int // places by name
+}
+
+// spreads is above the number of tries that one instant can set off, and prime.
+const spreads = 16381
+
+// Try implements routing.Carrier.
+func (s spread) Try(ctx context.Context, t routing.Try) routing.TryResult {
+	d := time.Duration(1 + (uint64(t.Call)*8+uint64(t.Attempt))%spreads)
+	time.Sleep(d)
+	defer time.Sleep(d)
+	return s.Carrier.Try(ctx, t)
+}
+
+// Probe implements routing.Carrier.
+func (s spread) Probe(ctx context.Context, p *routing.Peer) brain.Result {
+	d := spreads + time.Duration(1+s.peers[p.Name])
+	time.Sleep(d)
+	defer time.Sleep(d)
+	return s.Carrier.Probe(ctx, p)
+}
--- /dev/null
+++ b/internal/lab/stage/trace.go
@@ -0,0 +1,89 @@
+package stage
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"hash"
+	"io"
+	"time"
+
+	"olivebridge/internal/lab/link"
+	"olivebridge/internal/lab/loop"
+)
+
+// trace writes down all that crosses the network, and all facts, one line each,
+// and sums them up in one hash. Two runs are the same if their hashes are.
+type trace struct {
+	loop *loop.Loop
+	sum  hash.Hash
+	all  *bufio.Writer // to sum, and to whoever reads
+	line []byte
+}
+
+func newTrace(l *loop.Loop, w io.Writer) *trace {
+	t := &trace{loop: l, sum: sha256.New()}
+	var to io.Writer = t.sum
+	if w != nil {
+		to = io.MultiWriter(t.sum, w)
+	}
+	t.all = bufio.NewWriterSize(to, 1<<16)
+	return t
+}
+
+// See implements link.Tap. What programs read is left out: it follows from what
+// arrived, and is most of the lines.
+func (t *trace) See(c link.Crossing) {
+	if c.What != link.Read {
+		t.line = append(c.Append(t.line[:0]), '\n')
+		t.all.Write(t.line)
+	}
+}
+
+// note adds a line of the world's own.
+func (t *trace) note(format string, args ...any) {
+	fmt.Fprintf(t.all, "%.9f ", t.loop.Now().Seconds())
+	fmt.Fprintf(t.all, format, args...)
+	t.all.WriteByte('\n')
+}
+
+// end returns the hash of all lines.
+func (t *trace) end() string {
+	t.all.Flush()
+	return hex.EncodeToString(t.sum.Sum(nil))
+}
+
+// PeerStarted and the methods below implement fact.Witness.
+func (t *trace) PeerStarted(peer, addr string, cold bool) {
+	t.note("fact peer %s started at %s cold=%v", peer, addr, cold)
+}
+
+// PeerStopped implements fact.Witness.
+func (t *trace) PeerStopped(peer string) { t.note("fact peer %s stopped", peer) }
+
+// PeerWork implements fact.Witness.
+func (t *trace) PeerWork(peer, call string, work, capacity float64) {
+	t.note("fact work %s %s %.6f of %.4f", peer, call, work, capacity)
+}
+
+// Listed implements fact.Witness.
+func (t *trace) Listed(version int64, peer, addr, state string, started time.Duration) {
+	t.note("fact listed %d %s %s %s since %v", version, peer, addr, state, started)
+}
+
+// Bad implements fact.Witness.
+func (t *trace) Bad(conn, why string, within time.Duration) { t.note("fact bad %s %s", conn, why) }
+
+// NodeStarted implements fact.Witness.
+func (t *trace) NodeStarted(node string, version int64) {
+	t.note("fact node %s started at %d", node, version)
+}
+
+// NodeKilled implements fact.Witness.
+func (t *trace) NodeKilled(node string) { t.note("fact node %s killed", node) }
+
+// NodeTold implements fact.Witness.
+func (t *trace) NodeTold(node, signal, discovery string) {
+	t.note("fact node %s told %s %s", node, signal, discovery)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	Listen func(addr string) (net.Listener, error)                  // nil: TCP
 	Dial   func(ctx context.Context, addr string) (net.Conn, error) // nil: TCP
 	Wrap   func(routing.Carrier) routing.Carrier                    // around the node's own; nil: nothing
+	Follow func(routing.Watcher) routing.Watcher                    // around each watch; nil: nothing
 	Log    *slog.Logger                                             // must not block; nil: none
 }
 
@@ -125,6 +126,10 @@
 	n.log.Info("reloaded", "discovery", c.Discovery)
 }
 
-func (n *Node) newWatch(c *protocol.Config, version int64) *transport.Watch {
-	return transport.NewWatch(c.Discovery, c.Names, version, n.parts.Dial, n.log)
+func (n *Node) newWatch(c *protocol.Config, version int64) routing.Watcher {
+	w := transport.NewWatch(c.Discovery, c.Names, version, n.parts.Dial, n.log)
+	if n.parts.Follow == nil {
+		return w
+	}
+	return n.parts.Follow(w)
 }
