--- a/internal/lab/fault/draw.go
+++ b/internal/lab/fault/draw.go
@@ -215,7 +215,8 @@
 		Swing: sc.Swing.draw(g), Period: sc.Period.draw(g), Keys: sc.Keys.draw(g), Zipf: sc.Zipf.draw(g),
 		Retries: sc.Retries.draw(g), Backoff: sc.Backoff.draw(g), Honour: sc.Honour.draw(g),
 		Patience: sc.Patience.draw(g), Leave: sc.Leave.draw(g), Fresh: sc.Fresh.draw(g), Keep: sc.Keep.draw(g),
-		Pipelined: sc.Pipelined.draw(g), Conns: sc.Conns.draw(g), Odd: sc.Odd.draw(g)}
+		Pipelined: sc.Pipelined.draw(g), Conns: sc.Conns.draw(g), Odd: sc.Odd.draw(g),
+		Linger: sc.Linger.draw(d.stream("linger " + name))}
 	for i, share := range shares(mix) {
 		c.Mix[d.s.World.Classes[i].Name] = share
 	}
--- a/internal/lab/fault/limits.go
+++ b/internal/lab/fault/limits.go
@@ -70,7 +70,7 @@
 		"world.clients.backoff": {0, 60, false}, "world.clients.honour": share,
 		"world.clients.patience": {0.05, 1, false}, "world.clients.leave": share, "world.clients.fresh": share,
 		"world.clients.keep": share, "world.clients.pipelined": share, "world.clients.conns": {1, 1e4, false},
-		"world.clients.odd": share,
+		"world.clients.odd": share, "world.clients.linger": share,
 
 		"world.rogue.rate": {0.01, 1e4, false}, "world.rogue.from": {0, 600, false},
 		"world.rogue.for": {0.05, 600, false},
--- a/internal/lab/fault/scenario.go
+++ b/internal/lab/fault/scenario.go
@@ -177,6 +177,7 @@
 	Pipelined Range   `toml:"pipelined" of:"world.clients.pipelined"`
 	Conns     Counts  `toml:"conns" of:"world.clients.conns"`
 	Odd       Range   `toml:"odd" of:"world.clients.odd"`
+	Linger    Range   `toml:"linger" of:"world.clients.linger"`
 }
 
 // RogueRanges draws the world.Rogues of one fault of the kind "rogues".
--- a/internal/lab/world/config.go
+++ b/internal/lab/world/config.go
@@ -147,6 +147,7 @@
 	Honour    float64            `toml:"honour"`        // share of retries that wait as Retry-After says
 	Patience  float64            `toml:"patience"`      // share of the class's deadline after which a try is given up
 	Leave     float64            `toml:"leave"`         // share that leave before their time is up
+	Linger    float64            `toml:"linger"`        // share that wait on after the time that they stated
 	Fresh     float64            `toml:"fresh"`         // share of requests on a connection of their own, closed after it
 	Keep      float64            `toml:"keep"`          // share of connections kept for good after one request
 	Pipelined float64            `toml:"pipelined"`     // share of requests sent while another on the connection is open
