Take a call by its class's method alone, and a GET without a body

A POST of a class that is safe to repeat was served, and the node might then send it twice; so was a GET of one that must never run twice, and any word as a method. Names now know each class's method from its effect: GET for pure, POST for side effects and tokens, whose first run has an effect. Another one gets a 405 with Allow, a GET with a body a 400, neither a try. A changed effect holds for the front as well after a reload.

Nothing but GET and HEAD is answered as readiness, and only at that very path: a call sent there as a POST, or under an escaped form of the path, used to get an empty 200 that no peer made, and so did "OPTIONS *".

A table test on raw sockets, which fails without each check.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,7 @@
 	}
 	n.router.Set(c.Settings)
 	n.carrier.Configure(n.carrierConfig(c))
+	n.front.Learn(c.Names) // a class whose effect has changed goes by another method
 	n.front.Bound(clientBounds(c))
 	n.log.Info("reloaded", "discovery", c.Discovery)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -27,7 +27,7 @@
 			TryLimit: 3, RetryAfter: true, MaxRetryAfter: time.Second, Cancel: true, DrainGrace: time.Second, Ask: true,
 			AskEvery: time.Second, Probes: true,
 		},
-		Names:          protocol.Names{Classes: map[string]int{"book": 0}},
+		Names:          protocol.Names{Classes: map[string]int{"book": 0}, Methods: []string{"POST"}},
 		ConnectTimeout: 75 * time.Millisecond, IdleClose: 10 * time.Second, LongestDeadline: 2 * time.Second,
 		Known: routing.Group{Entries: []routing.Entry{entry}}, KnownVersion: 4,
 	}
@@ -140,6 +140,12 @@
 		if r, err := s.Rest(t.Context()); err != nil || r != (Rest{Peers: 1, Timers: 1, Watch: true, ClientConns: 1, PeerConns: 1}) {
 			t.Errorf("at rest: %+v, %v", r, err)
 		}
+		safe := config() // its only class, that is
+		safe.Names.Methods = []string{"GET"}
+		s.Reload(safe)
+		if status, _ := s.ask("/api"); status != 405 {
+			t.Errorf("a POST of a class that is safe by now: %d", status)
+		}
 		moved := config()
 		moved.Discovery = "discovery:2"
 		s.Reload(moved)
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
+	"olivebridge/brain"
 	"olivebridge/internal/routing"
 )
 
@@ -16,12 +18,30 @@
 // Names are the places of names in the settings' lists.
 type Names struct {
 	Classes, Callers, Zones, Kinds map[string]int
+	Methods                        []string // of the classes, by their places
+}
+
+// methodOf is the one method of a class's calls. Repeats of a token are dropped
+// by whoever keeps it; its first run has an effect all the same.
+func methodOf(e brain.Effect) string {
+	if e == brain.Pure {
+		return http.MethodGet
+	}
+	return http.MethodPost
+}
+
+// MethodError says that a call's method is not its class's: what the class lets
+// the node do with the call, send it again say, would not hold for it.
+type MethodError struct{ Class, Method, Allow string }
+
+func (e *MethodError) Error() string {
+	return fmt.Sprintf("method: %.20q, but calls of class %q are made by %s", e.Method, e.Class, e.Allow)
 }
 
 // ParseCall reads from the head of a request what decisions need. header gives
 // a header's values, query is the raw query. Any error deserves a plain 4xx
-// answer and no try.
-func (n Names) ParseCall(header func(name string) []string, query string) (routing.Call, error) {
+// answer and no try; a *MethodError says that it should be 405.
+func (n Names) ParseCall(method string, header func(name string) []string, query string) (routing.Call, error) {
 	fields := map[string]string{}
 	for _, name := range []string{HeaderID, HeaderClass, HeaderCaller, HeaderBudget, HeaderAgain} {
 		switch v := header(name); {
@@ -38,6 +58,13 @@
 	if !ok {
 		return routing.Call{}, fmt.Errorf("%s: missing or unknown: %q", HeaderClass, fields[HeaderClass])
 	}
+	if class >= len(n.Methods) || method != n.Methods[class] {
+		e := &MethodError{Class: fields[HeaderClass], Method: method}
+		if class < len(n.Methods) {
+			e.Allow = n.Methods[class]
+		}
+		return routing.Call{}, e
+	}
 	tenant := -1
 	if len(n.Callers) > 0 {
 		if tenant, ok = n.Callers[fields[HeaderCaller]]; !ok {
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -159,6 +159,7 @@
 	c.Names = Names{Classes: map[string]int{}, Callers: map[string]int{}, Zones: places(set.Zones), Kinds: places(set.Kinds)}
 	for i, class := range set.Classes {
 		c.Names.Classes[class.Name] = i
+		c.Names.Methods = append(c.Names.Methods, methodOf(c.Settings.Classes[i].Effect))
 		c.LongestDeadline = max(c.LongestDeadline, c.Settings.Classes[i].Deadline)
 	}
 	for i, tenant := range set.Tenants {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -11,7 +12,7 @@
 
 var names = Names{
 	Classes: map[string]int{"status": 0, "book": 1}, Callers: map[string]int{"acme": 0, "zen": 1},
-	Zones: map[string]int{"a": 0, "b": 1}, Kinds: map[string]int{"m1": 0, "m2": 1},
+	Zones: map[string]int{"a": 0, "b": 1}, Kinds: map[string]int{"m1": 0, "m2": 1}, Methods: []string{"GET", "POST"},
 }
 
 func TestParseCall(t *testing.T) {
@@ -38,7 +39,7 @@
 				h[k] = []string{v}
 			}
 		}
-		got, err := names.ParseCall(func(n string) []string { return h[n] }, c.query)
+		got, err := names.ParseCall("POST", func(n string) []string { return h[n] }, c.query)
 		if c.bad != "" {
 			if err == nil || !strings.Contains(err.Error(), c.bad) {
 				t.Errorf("%s: error %v, want one about %s", name, err, c.bad)
@@ -51,7 +52,7 @@
 		}
 	}
 	twice := func(n string) []string { return []string{"book", "status"} }
-	if _, err := names.ParseCall(twice, ""); err == nil {
+	if _, err := names.ParseCall("POST", twice, ""); err == nil {
 		t.Error("a header given twice was taken")
 	}
 }
@@ -169,7 +170,7 @@
 	if c.Seed != 0x8c1f30d27a5be964 || c.Sockets != 1024 || c.ConnectTimeout != 75*time.Millisecond || c.KnownVersion != 41 ||
 		c.IdleClose != 10*time.Second || c.LongestDeadline != 600*time.Millisecond || len(c.Known.Entries) != 1 ||
 		c.Known.Entries[0].Zone != 1 || c.Settings.Zone != 1 || c.Settings.Zones != 2 || c.Settings.TryLimit != 4 ||
-		c.Settings.DrainGrace != 2500*time.Millisecond || c.Names.Classes["book"] != 1 || len(c.Settings.Tenants) != 1 {
+		c.Settings.DrainGrace != 2500*time.Millisecond || c.Names.Classes["book"] != 1 || fmt.Sprint(c.Names.Methods) != "[GET POST]" || len(c.Settings.Tenants) != 1 {
 		t.Errorf("got %+v", c)
 	}
 	for old, new := range map[string]string{
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -49,7 +49,7 @@
 
 // Front is the HTTP server that client connections reach.
 type Front struct {
-	names   protocol.Names
+	names   atomic.Pointer[protocol.Names]
 	taker   Taker
 	log     *slog.Logger
 	server  *http.Server
@@ -63,7 +63,8 @@
 
 // NewFront makes a front on l.
 func NewFront(l net.Listener, names protocol.Names, taker Taker, b ClientBounds, log *slog.Logger) *Front {
-	f := &Front{names: names, taker: taker, log: log, clients: newClients(l, b, log)}
+	f := &Front{taker: taker, log: log, clients: newClients(l, b, log)}
+	f.Learn(names)
 	f.life, f.end = context.WithCancel(context.Background())
 	f.server = &http.Server{
 		Handler:   f,
@@ -77,6 +78,8 @@
 		WriteTimeout:      30 * time.Second,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    32 << 10,
+
+		DisableGeneralOptionsHandler: true, // net/http would answer 200 to what no peer has seen
 	}
 	return f
 }
@@ -90,6 +93,9 @@
 	return fmt.Errorf("front: %w", err)
 }
 
+// Learn changes the names that calls are read by.
+func (f *Front) Learn(names protocol.Names) { f.names.Store(&names) }
+
 // Bound changes how many client connections there may be.
 func (f *Front) Bound(b ClientBounds) { f.clients.bound(b) }
 
@@ -148,7 +154,11 @@
 			w.WriteHeader(http.StatusInternalServerError)
 		}
 	}()
-	if r.URL.Path == protocol.PathReady {
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); path == protocol.PathReady {
+		if r.Method != http.MethodGet && r.Method != http.MethodHead { // a call's client would take the 200 for its answer
+			f.refuse(w, http.StatusMethodNotAllowed, &protocol.MethodError{Method: r.Method, Allow: http.MethodGet})
+			return
+		}
 		if f.leaving.Load() || !f.taker.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -163,9 +173,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if err != nil {
-		f.badly.Add(1)
-		w.Header().Set("Connection", "close") // whatever else waits on it is not worth reading
-		http.Error(w, err.Error(), status)
+		f.refuse(w, status, err)
 		return
 	}
 	// The request has come in time; net/http would take the end of that time for
@@ -184,6 +192,17 @@
 	f.answer(w, a)
 }
 
+// refuse answers a request that deserves no try.
+func (f *Front) refuse(w http.ResponseWriter, status int, err error) {
+	f.badly.Add(1)
+	w.Header().Set("Connection", "close") // whatever else waits on it is not worth reading
+	if m, ok := errors.AsType[*protocol.MethodError](err); ok {
+		status = http.StatusMethodNotAllowed
+		w.Header().Set("Allow", m.Allow)
+	}
+	http.Error(w, err.Error(), status)
+}
+
 // read takes a call out of a request, or says which 4xx it deserves.
 func (f *Front) read(r *http.Request, k *clientConn) (routing.Call, int, error) {
 	if !r.ProtoAtLeast(1, 1) { // net/http passes over a Transfer-Encoding there
@@ -199,7 +218,7 @@
 	if err := checkHead(r); err != nil {
 		return routing.Call{}, http.StatusBadRequest, err
 	}
-	call, err := f.names.ParseCall(func(name string) []string { return r.Header[name] }, r.URL.RawQuery)
+	call, err := f.names.Load().ParseCall(r.Method, func(name string) []string { return r.Header[name] }, r.URL.RawQuery)
 	if err != nil {
 		return call, http.StatusBadRequest, err
 	}
@@ -212,6 +231,8 @@
 		return call, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 	case len(body) > protocol.MaxBody:
 		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
+	case len(body) > 0 && r.Method == http.MethodGet: // its peer need not read it, and would take it for a request
+		return call, http.StatusBadRequest, errors.New("body: none belongs to a GET")
 	}
 	call.Arrived = time.Now()
 	k.requestRead()
--- a/internal/transport/refuse_test.go
+++ b/internal/transport/refuse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -22,7 +23,13 @@
 	return func(raw string) (*http.Response, string) {
 		c := dial(t, addr)
 		defer c.Close()
-		resp, _ := c.ask(t, raw)
+		go io.WriteString(c, raw)
+		method, _, _ := strings.Cut(raw, " ")
+		resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
+		if err != nil {
+			t.Fatalf("%q: %v", raw, err)
+		}
+		io.Copy(io.Discard, resp.Body)
 		select {
 		case peer := <-got:
 			return resp, peer
@@ -52,3 +59,33 @@
 		}
 	}
 }
+
+// TestMethods: the class decides the method, since it decides what the node may
+// do with a call: a POST is never sent twice, and a GET carries nothing.
+func TestMethods(t *testing.T) {
+	send := served(t)
+	class := func(method, class, rest string) string {
+		return method + " /api?user=7f HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b\r\nX-Call-Class: " + class + "\r\nX-Budget: 0.5\r\n" + rest
+	}
+	const empty, body, chunk = "\r\n", "Content-Length: 2\r\n\r\nhi", "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+	for raw, want := range map[string]struct {
+		status int
+		allow  string
+	}{
+		class("GET", "status", empty): {200, ""}, class("GET", "status", "Content-Length: 0\r\n\r\n"): {200, ""},
+		class("POST", "book", body): {200, ""}, class("POST", "book", chunk): {200, ""}, class("POST", "book", empty): {200, ""},
+		class("POST", "status", body): {405, "GET"}, class("GET", "book", empty): {405, "POST"}, class("get", "status", empty): {405, "GET"},
+		class("HEAD", "status", empty): {405, "GET"}, class("OPTIONS", "status", empty): {405, "GET"}, class("PUT", "book", body): {405, "POST"},
+		class("TRACE", "book", empty): {405, "POST"}, class("PATCH", "book", body): {405, "POST"}, class("WORD", "book", body): {405, "POST"},
+		class("GET", "status", body): {400, ""}, class("GET", "status", chunk): {400, ""},
+		"POST /health/ready HTTP/1.1\r\nHost: h\r\n" + body: {405, "GET"}, "GET /health/ready?a HTTP/1.1\r\nHost: h\r\n\r\n": {200, ""},
+		"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n": {400, ""}, "GET /health/%72eady HTTP/1.1\r\nHost: h\r\n\r\n": {400, ""},
+		class("CONNECT", "status", empty): {405, "GET"},
+	} {
+		resp, peer := send(raw)
+		if resp.StatusCode != want.status || resp.Header.Get("Allow") != want.allow ||
+			(peer != "") != (want.status == 200 && !strings.Contains(raw, protocol.PathReady)) || resp.Close != (want.status != 200 || strings.Contains(raw, "chunked")) {
+			t.Errorf("%q: status %d, allow %q, want %v; to the peer: %q", raw, resp.StatusCode, resp.Header.Get("Allow"), want, peer)
+		}
+	}
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -501,7 +501,7 @@
 		t.Fatal(err)
 	}
 	log = make(lines, 1000)
-	front = NewFront(l, protocol.Names{Classes: map[string]int{"book": 0}}, f, ClientBounds{Open: most, Idle: most}, log.log())
+	front = NewFront(l, protocol.Names{Classes: map[string]int{"book": 0, "status": 1}, Methods: []string{"POST", "GET"}}, f, ClientBounds{Open: most, Idle: most}, log.log())
 	for _, c := range change {
 		c(front)
 	}
