Refuse targets and hosts that are not HTTP to the letter

A target with a fragment (/api#x) went on to the peer as it was. Probing on raw sockets, 75 odd heads, found more that got through: bytes outside of ASCII, broken escapes in the query, and what must stand escaped in a target (backslash, quotes, brackets, braces, bar, caret); the key given twice, also under an escaped name; a host that is empty or holds a comma or a broken escape. Each gets a 400 and no try now. The other odd heads were refused already, and the table test keeps both kinds, and what is odd but lawful.

TestSilentWatch plays in a bubble now: its 40 ms of real time did not last on a busy machine. transport and protocol pass under the race detector.

--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -111,20 +111,31 @@
 	return strconv.FormatFloat(max(d, time.Millisecond).Seconds(), 'f', 3, 64)
 }
 
-// keyOf hashes the key that a raw query carries; 0 means none.
-func keyOf(query string) (uint64, error) {
-	for query != "" {
+// keyOf hashes the key that a raw query carries; 0 means none. One that stands
+// twice is an error: whoever serves the call may go by the other.
+func keyOf(query string) (key uint64, err error) {
+	for given := false; query != ""; {
 		var pair string
 		pair, query, _ = strings.Cut(query, "&")
 		name, value, _ := strings.Cut(pair, "=")
-		if name != KeyParameter || value == "" {
+		if strings.Contains(name, "%") {
+			if name, err = url.QueryUnescape(name); err != nil {
+				return 0, fmt.Errorf("query: malformed: %.80q", pair)
+			}
+		}
+		if name != KeyParameter {
 			continue
 		}
 		plain, err := url.QueryUnescape(value) // one key has one hash, however it is escaped
 		if err != nil {
 			return 0, fmt.Errorf("%s: malformed: %q", KeyParameter, value)
 		}
-		return hash(plain), nil
+		if given {
+			return 0, fmt.Errorf("%s: given more than once", KeyParameter)
+		}
+		if given = true; plain != "" {
+			key = hash(plain)
+		}
 	}
-	return 0, nil
+	return key, nil
 }
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -32,6 +32,7 @@
 		"no budget":       {map[string]string{HeaderBudget: ""}, "", HeaderBudget},
 		"broken budget":   {map[string]string{HeaderBudget: "0.4s"}, "", HeaderBudget},
 		"broken escaping": {nil, "user=%zz", KeyParameter},
+		"two keys":        {nil, "user=a&x=1&user=b", KeyParameter},
 	} {
 		h := map[string][]string{HeaderID: {"9b1f"}, HeaderClass: {"book"}, HeaderCaller: {"zen"}, HeaderBudget: {"0.480"}}
 		for k, v := range c.change {
@@ -79,7 +80,7 @@
 func TestKeysHashAlike(t *testing.T) {
 	for query, want := range map[string]uint64{
 		"user=ab": 0x89c4407b545986a, "x=1&user=ab&y": 0x89c4407b545986a, "user=%61b": 0x89c4407b545986a,
-		"": 0, "user=": 0, "user": 0, "users=ab": 0, "x=user=ab": 0} {
+		"%75ser=ab": 0x89c4407b545986a, "": 0, "user=": 0, "user": 0, "users=ab": 0, "x=user=ab": 0} {
 		if got, err := keyOf(query); err != nil || got != want {
 			t.Errorf("%q: got %#x, %v, want %#x", query, got, err, want)
 		}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -211,10 +211,6 @@
 	if torn, _ := k.framed(); torn { // guards the peers: the body may hide another request
 		return routing.Call{}, http.StatusBadRequest, errors.New("framing: two lengths, or a folded line")
 	}
-	if !strings.HasPrefix(r.RequestURI, "/") || strings.HasPrefix(r.RequestURI, "//") {
-		// net/url would write such a target in another form than it came
-		return routing.Call{}, http.StatusBadRequest, errors.New("target: begins with no slash, or with two")
-	}
 	if err := checkHead(r); err != nil {
 		return routing.Call{}, http.StatusBadRequest, err
 	}
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -13,6 +13,12 @@
 // taken. It guards the peers against heads that the node and they would read
 // in different ways.
 func checkHead(r *http.Request) error {
+	if err := checkTarget(r.RequestURI); err != nil {
+		return err
+	}
+	if r.Host == "" || strings.ContainsFunc(r.Host, func(c rune) bool { return !unreserved(c) && !strings.ContainsRune("[:]", c) }) {
+		return fmt.Errorf("host: missing or malformed: %.80q", r.Host)
+	}
 	if err := checkOptions(r.Header["Connection"]); err != nil {
 		return err
 	}
@@ -25,6 +31,31 @@
 	return nil
 }
 
+// checkTarget takes a path and a query as RFC 3986 has them, to the letter: a
+// target goes on as it came, and servers part on what the rest means.
+func checkTarget(target string) error {
+	if !strings.HasPrefix(target, "/") || strings.HasPrefix(target, "//") {
+		return fmt.Errorf("target: begins with no slash, or with two: %.80q", target)
+	}
+	for i, c := range target {
+		switch {
+		case c == '%' && (len(target) < i+3 || !hex(target[i+1]) || !hex(target[i+2])):
+			return fmt.Errorf("target: malformed escape: %.80q", target)
+		case !unreserved(c) && !strings.ContainsRune("%/?:@!$&'()*+,;=", c):
+			return fmt.Errorf("target: %q stands unescaped: %.80q", c, target)
+		}
+	}
+	return nil
+}
+
+func unreserved(c rune) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.ContainsRune("-._~", c)
+}
+
+func hex(c byte) bool {
+	return '0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F'
+}
+
 // checkOptions finds connection options that would take from a request what its
 // peer needs: whatever Connection names goes no further than to this node.
 func checkOptions(lists []string) error {
--- a/internal/transport/refuse_test.go
+++ b/internal/transport/refuse_test.go
@@ -89,3 +89,44 @@
 		}
 	}
 }
+
+// TestOddHeads: what is not HTTP/1.1 to the letter, or reads in two ways, gets
+// an error and no try; what is odd but lawful reaches the peer as it came.
+func TestOddHeads(t *testing.T) {
+	send := served(t)
+	const rest = " HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b\r\nX-Call-Class: status\r\nX-Budget: 0.5\r\n\r\n"
+	line := func(s string) string { return strings.Replace("GET /api"+rest, "Host: h", "Host: h\r\n"+s, 1) }
+	host := func(s string) string { return strings.Replace("GET /api"+rest, "Host: h\r\n", s, 1) }
+	for _, target := range []string{"/api?user=a%2Fb&x=%7e", "/", "/?", "/a;b=1/c,d?x;y=z&user=7f", "/a!$&'()*+,;=:@-._~", "/api/%C3%A9?q=a/b?c",
+		"/api?users=a&user=b", "/a/../b/./c", "/api?user=a+b&y=user", "/a//b"} {
+		if resp, peer := send("GET " + target + rest); resp.StatusCode != 200 || !strings.HasPrefix(peer, "GET "+target+" HTTP/1.1\r\n") {
+			t.Errorf("%s: status %d, to the peer: %q", target, resp.StatusCode, peer)
+		}
+	}
+	for _, target := range []string{"/api#x", "/api?user=7f#x", "/#", "/api?a=\x01", "/a\x7f", "/a\x00", "/\xc3\xa9", "/api?user=\xe9", "/%zz", "/api?x=%zz",
+		"/api?x=%", "/api?x=%4", "/api?user=%4", "/a\\b", "/a|b", "/a\"b", "/a<b>", "/a^b", "/a`b", "/{id}", "/a?x[]=1", "//api", "api", "*", "?user=7f",
+		"http://h/api", "h:80", "/a b", "/a\tb", "", " /api", "/api?user=a&user=b", "/api?user=a&%75ser=b", "/api?user&user=b"} {
+		if resp, peer := send("GET " + target + rest); resp.StatusCode != 400 || peer != "" {
+			t.Errorf("%q: status %d, to the peer: %q", target, resp.StatusCode, peer)
+		}
+	}
+	for _, raw := range []string{line("A: b"), line("a_b: c"), line("A: b\r\nA: c"), line("A:"), line("A: \xe9"), line("Expect: 100-continue"),
+		host("Host: h.example:8080\r\n"), host("host: [::1]:80\r\n"), line("Accept: */*\r\nUser-Agent: x/1 (y; z)\r\nX-Call-Info: a=1,b=2")} {
+		if resp, peer := send(raw); resp.StatusCode != 200 || peer == "" {
+			t.Errorf("%q: status %d", raw, resp.StatusCode)
+		}
+	}
+	for _, raw := range []string{line("A : b"), line(": b"), line("A b: c"), line("A\x00: b"), line("A: b\x00"), line("A: b\rc"), line("A: \x7f"),
+		line("A: b\r\n c"), line(" A: b"), line("A"), line("(A): b"), line("\xe9: b"), line("x-call-id: 9c"), line("X-CALL-ID: 9b"), line("X-Again: 1\r\nx-again: 0"),
+		line("Host: h"), host(""), host("Host:\r\n"), host("Host: a b\r\n"), host("Host: a,b\r\n"), host("Host: a/b\r\n"), host("Host: u@h\r\n"), host("Host: h\r\n c\r\n"),
+		host("Host: %zz\r\n"), host("Host: \xe9\r\n"), line("Expect: 200-ok"), line("Content-Length: 0\r\nContent-Length: 0"), line("Content-Length: 0, 0"),
+		line("Content-Length: +0"), line("Content-Length:"), line("Transfer-Encoding: chunked, chunked"), line("Transfer-Encoding: identity"),
+		line("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"), line("Transfer-Encoding:\x0bchunked"), line("Transfer-Encoding: gzip, chunked"),
+		"GET  /api" + rest, "GET\t/api" + rest, "GET /api " + rest, strings.Replace("GET /api"+rest, "1.1", "2.0", 1),
+		strings.Replace("GET /api"+rest, "HTTP/1.1", "http/1.1", 1), "G@T /api" + rest, "\r\n\r\nGET /api" + rest, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+		"GET /" + strings.Repeat("a", 40<<10) + rest} {
+		if resp, peer := send(raw); resp.StatusCode < 400 || peer != "" {
+			t.Errorf("%.300q: status %d, to the peer: %q", raw, resp.StatusCode, peer)
+		}
+	}
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -894,19 +894,22 @@
 	log.until("addr="+first.LocalAddr().String(), "reason=evicted")
 }
 
-// TestSilentWatch: a call that never comes back is asked again at once, but not for ever.
+// TestSilentWatch: a call that never comes back is asked again at once, on a new
+// connection, but not for ever.
 func TestSilentWatch(t *testing.T) {
-	asked := make(chan bool, 10)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		asked <- true
-		<-r.Context().Done()
-	}))
-	defer s.Close()
-	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, 1, nil, slog.New(slog.DiscardHandler))
-	w.wait, w.slack = 20*time.Millisecond, 20*time.Millisecond
-	if err := w.Watch(t.Context(), nil); err == nil || len(asked) != 1+watchAgain {
-		t.Errorf("%v after %d calls, want %d", err, len(asked), 1+watchAgain)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		dialed, began := 0, time.Now()
+		w := NewWatch("d:1", protocol.Names{}, 1, func(context.Context, string) (net.Conn, error) {
+			dialed++
+			near, far := net.Pipe()
+			go io.Copy(io.Discard, far)
+			return pipe{near}, nil
+		}, slog.New(slog.DiscardHandler))
+		const calls = 1 + watchAgain
+		if err := w.Watch(t.Context(), nil); err == nil || dialed != calls || time.Since(began) != calls*(watchWait+watchSlack) {
+			t.Errorf("%v after %d calls in %v, want %d", err, dialed, time.Since(began), calls)
+		}
+	})
 }
 
 // TestWatchEndsItsDialing: http.Transport would go on dialing without it.
