Refuse heads with a line that ends without a carriage return

net/http takes a bare line feed for the end of a line; a server that minds reads another head, with other headers. Answers of peers are read as before.

Of 34 odd targets and 47 odd heads in the table test none reaches a peer.

--- a/internal/routing/rest.go
+++ b/internal/routing/rest.go
@@ -23,7 +23,8 @@
 type restEvent chan<- Rest
 
 func (e restEvent) handle(r *Router) {
-	s := Rest{Calls: len(r.open), Names: len(r.names), Peers: len(r.peers), Timers: len(r.timers), Watch: r.watch != nil}
+	s := Rest{Calls: len(r.open), Names: len(r.names), Peers: len(r.peers), Timers: len(r.timers),
+		Watch: r.watch != nil}
 	for _, c := range r.open {
 		s.Tries += c.out
 	}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -133,8 +133,8 @@
 		return "evicted", k
 	}
 	for o := range c.open { // the longest, so that which one it is does not hang on chance
-		if o.active && !o.whole && !o.gone && now.Sub(o.since) >= slowness && (k == nil || o.since.Before(k.since)) &&
-			!unread(o.Conn) {
+		if o.active && !o.whole && !o.gone && now.Sub(o.since) >= slowness &&
+			(k == nil || o.since.Before(k.since)) && !unread(o.Conn) {
 			k = o
 		}
 	}
@@ -364,7 +364,7 @@
 func (k *clientConn) framed() (torn, last bool) {
 	k.all.mu.Lock()
 	defer k.all.mu.Unlock()
-	return k.framing.torn, k.framing.over
+	return k.framing.torn || k.framing.bare, k.framing.over
 }
 
 // begin notes that a request has begun. The lock is held.
--- a/internal/transport/framing.go
+++ b/internal/transport/framing.go
@@ -16,6 +16,8 @@
 	skip    int64 // bytes of a body still to come
 	over    bool  // nothing further is followed, nor served: the connection ends
 	torn    bool  // some head had both, or two lengths, or a folded line, which can hide one
+	cr      bool  // the last byte was a carriage return
+	bare    bool  // some line of a head ended without one: whoever minds reads another head
 }
 
 // maxDigits is above what net/http takes for a length.
@@ -35,6 +37,8 @@
 }
 
 func (f *framing) next(c byte) {
+	f.bare = f.bare || c == '\n' && !f.cr
+	f.cr = c == '\r'
 	switch {
 	case c == '\n':
 		f.endLine()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -155,13 +155,7 @@
 		}
 	}()
 	if path, _, _ := strings.Cut(r.RequestURI, "?"); path == protocol.PathReady {
-		if r.Method != http.MethodGet && r.Method != http.MethodHead { // a call's client would take the 200 for its answer
-			f.refuse(w, http.StatusMethodNotAllowed, &protocol.MethodError{Method: r.Method, Allow: http.MethodGet})
-			return
-		}
-		if f.leaving.Load() || !f.taker.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+		f.ready(w, r)
 		return
 	}
 	k := r.Context().Value(connKey{}).(*clientConn)
@@ -192,6 +186,16 @@
 	f.answer(w, a)
 }
 
+// ready says whether the node may be sent clients.
+func (f *Front) ready(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Method != http.MethodGet && r.Method != http.MethodHead: // guards a call's client: a 200 were its answer
+		f.refuse(w, http.StatusMethodNotAllowed, &protocol.MethodError{Method: r.Method, Allow: http.MethodGet})
+	case f.leaving.Load() || !f.taker.Ready():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // refuse answers a request that deserves no try.
 func (f *Front) refuse(w http.ResponseWriter, status int, err error) {
 	f.badly.Add(1)
@@ -209,12 +213,14 @@
 		return routing.Call{}, http.StatusHTTPVersionNotSupported, errors.New("version: below HTTP/1.1")
 	}
 	if torn, _ := k.framed(); torn { // guards the peers: the body may hide another request
-		return routing.Call{}, http.StatusBadRequest, errors.New("framing: two lengths, or a folded line")
+		return routing.Call{}, http.StatusBadRequest,
+			errors.New("framing: two lengths, a folded line, or one that ends without a carriage return")
 	}
 	if err := checkHead(r); err != nil {
 		return routing.Call{}, http.StatusBadRequest, err
 	}
-	call, err := f.names.Load().ParseCall(r.Method, func(name string) []string { return r.Header[name] }, r.URL.RawQuery)
+	header := func(name string) []string { return r.Header[name] }
+	call, err := f.names.Load().ParseCall(r.Method, header, r.URL.RawQuery)
 	if err != nil {
 		return call, http.StatusBadRequest, err
 	}
@@ -227,7 +233,7 @@
 		return call, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 	case len(body) > protocol.MaxBody:
 		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
-	case len(body) > 0 && r.Method == http.MethodGet: // its peer need not read it, and would take it for a request
+	case len(body) > 0 && r.Method == http.MethodGet: // a peer that reads none would take it for a request
 		return call, http.StatusBadRequest, errors.New("body: none belongs to a GET")
 	}
 	call.Arrived = time.Now()
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -16,7 +16,8 @@
 	if err := checkTarget(r.RequestURI); err != nil {
 		return err
 	}
-	if r.Host == "" || strings.ContainsFunc(r.Host, func(c rune) bool { return !unreserved(c) && !strings.ContainsRune("[:]", c) }) {
+	odd := func(c rune) bool { return !unreserved(c) && !strings.ContainsRune("[:]", c) }
+	if r.Host == "" || strings.ContainsFunc(r.Host, odd) {
 		return fmt.Errorf("host: missing or malformed: %.80q", r.Host)
 	}
 	if err := checkOptions(r.Header["Connection"]); err != nil {
@@ -49,7 +50,8 @@
 }
 
 func unreserved(c rune) bool {
-	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.ContainsRune("-._~", c)
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' ||
+		strings.ContainsRune("-._~", c)
 }
 
 func hex(c byte) bool {
--- a/internal/transport/refuse_test.go
+++ b/internal/transport/refuse_test.go
@@ -44,10 +44,13 @@
 func TestConnectionOptions(t *testing.T) {
 	send := served(t)
 	for line, want := range map[string]int{
-		"Connection: X-Call-Id": 400, "Connection: keep-alive, x-call-ID": 400, "Connection: close\r\nconnection:X-Budget ,": 400,
-		"Connection: X-Call-Class": 400, "Connection: X-Caller": 400, "Connection: X-Again": 400, "Connection: X-Call-Info": 400,
-		"Connection: Host": 400, "Connection: Content-Length": 400, "Connection: Transfer-Encoding": 400,
-		"X_Call_Id: 9c": 400, "x-call_class: book": 400, "X_Budget: 9": 400, "Content_Length: 0": 400, "Transfer_Encoding: chunked": 400,
+		"Connection: X-Call-Id": 400, "Connection: keep-alive, x-call-ID": 400,
+		"Connection: close\r\nconnection:X-Budget ,": 400,
+		"Connection: X-Call-Class":                   400, "Connection: X-Caller": 400, "Connection: X-Again": 400,
+		"Connection: X-Call-Info": 400,
+		"Connection: Host":        400, "Connection: Content-Length": 400, "Connection: Transfer-Encoding": 400,
+		"X_Call_Id: 9c": 400, "x-call_class: book": 400, "X_Budget: 9": 400, "Content_Length: 0": 400,
+		"Transfer_Encoding: chunked":                              400,
 		"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX_Other: 1": 200, "Connection: Upgrade\r\nUpgrade: h2c": 200,
 	} {
 		resp, peer := send(head + line + "\r\nContent-Length: 2\r\n\r\nhi")
@@ -72,15 +75,22 @@
 		status int
 		allow  string
 	}{
-		class("GET", "status", empty): {200, ""}, class("GET", "status", "Content-Length: 0\r\n\r\n"): {200, ""},
-		class("POST", "book", body): {200, ""}, class("POST", "book", chunk): {200, ""}, class("POST", "book", empty): {200, ""},
-		class("POST", "status", body): {405, "GET"}, class("GET", "book", empty): {405, "POST"}, class("get", "status", empty): {405, "GET"},
-		class("HEAD", "status", empty): {405, "GET"}, class("OPTIONS", "status", empty): {405, "GET"}, class("PUT", "book", body): {405, "POST"},
-		class("TRACE", "book", empty): {405, "POST"}, class("PATCH", "book", body): {405, "POST"}, class("WORD", "book", body): {405, "POST"},
+		class("GET", "status", empty):                       {200, ""},
+		class("GET", "status", "Content-Length: 0\r\n\r\n"): {200, ""},
+		class("POST", "book", body):                         {200, ""}, class("POST", "book", chunk): {200, ""},
+		class("POST", "book", empty):  {200, ""},
+		class("POST", "status", body): {405, "GET"}, class("GET", "book", empty): {405, "POST"},
+		class("get", "status", empty):  {405, "GET"},
+		class("HEAD", "status", empty): {405, "GET"}, class("OPTIONS", "status", empty): {405, "GET"},
+		class("PUT", "book", body):    {405, "POST"},
+		class("TRACE", "book", empty): {405, "POST"}, class("PATCH", "book", body): {405, "POST"},
+		class("WORD", "book", body):  {405, "POST"},
 		class("GET", "status", body): {400, ""}, class("GET", "status", chunk): {400, ""},
-		"POST /health/ready HTTP/1.1\r\nHost: h\r\n" + body: {405, "GET"}, "GET /health/ready?a HTTP/1.1\r\nHost: h\r\n\r\n": {200, ""},
-		"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n": {400, ""}, "GET /health/%72eady HTTP/1.1\r\nHost: h\r\n\r\n": {400, ""},
-		class("CONNECT", "status", empty): {405, "GET"},
+		"POST /health/ready HTTP/1.1\r\nHost: h\r\n" + body: {405, "GET"},
+		"GET /health/ready?a HTTP/1.1\r\nHost: h\r\n\r\n":   {200, ""},
+		"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n":             {400, ""},
+		"GET /health/%72eady HTTP/1.1\r\nHost: h\r\n\r\n":   {400, ""},
+		class("CONNECT", "status", empty):                   {405, "GET"},
 	} {
 		resp, peer := send(raw)
 		if resp.StatusCode != want.status || resp.Header.Get("Allow") != want.allow ||
@@ -97,33 +107,47 @@
 	const rest = " HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b\r\nX-Call-Class: status\r\nX-Budget: 0.5\r\n\r\n"
 	line := func(s string) string { return strings.Replace("GET /api"+rest, "Host: h", "Host: h\r\n"+s, 1) }
 	host := func(s string) string { return strings.Replace("GET /api"+rest, "Host: h\r\n", s, 1) }
-	for _, target := range []string{"/api?user=a%2Fb&x=%7e", "/", "/?", "/a;b=1/c,d?x;y=z&user=7f", "/a!$&'()*+,;=:@-._~", "/api/%C3%A9?q=a/b?c",
+	for _, target := range []string{"/api?user=a%2Fb&x=%7e", "/", "/?", "/a;b=1/c,d?x;y=z&user=7f",
+		"/a!$&'()*+,;=:@-._~", "/api/%C3%A9?q=a/b?c",
 		"/api?users=a&user=b", "/a/../b/./c", "/api?user=a+b&y=user", "/a//b"} {
 		if resp, peer := send("GET " + target + rest); resp.StatusCode != 200 || !strings.HasPrefix(peer, "GET "+target+" HTTP/1.1\r\n") {
 			t.Errorf("%s: status %d, to the peer: %q", target, resp.StatusCode, peer)
 		}
 	}
-	for _, target := range []string{"/api#x", "/api?user=7f#x", "/#", "/api?a=\x01", "/a\x7f", "/a\x00", "/\xc3\xa9", "/api?user=\xe9", "/%zz", "/api?x=%zz",
-		"/api?x=%", "/api?x=%4", "/api?user=%4", "/a\\b", "/a|b", "/a\"b", "/a<b>", "/a^b", "/a`b", "/{id}", "/a?x[]=1", "//api", "api", "*", "?user=7f",
+	for _, target := range []string{"/api#x", "/api?user=7f#x", "/#", "/api?a=\x01", "/a\x7f", "/a\x00",
+		"/\xc3\xa9", "/api?user=\xe9", "/%zz", "/api?x=%zz",
+		"/api?x=%", "/api?x=%4", "/api?user=%4", "/a\\b", "/a|b", "/a\"b", "/a<b>", "/a^b", "/a`b", "/{id}",
+		"/a?x[]=1", "//api", "api", "*", "?user=7f",
 		"http://h/api", "h:80", "/a b", "/a\tb", "", " /api", "/api?user=a&user=b", "/api?user=a&%75ser=b", "/api?user&user=b"} {
 		if resp, peer := send("GET " + target + rest); resp.StatusCode != 400 || peer != "" {
 			t.Errorf("%q: status %d, to the peer: %q", target, resp.StatusCode, peer)
 		}
 	}
-	for _, raw := range []string{line("A: b"), line("a_b: c"), line("A: b\r\nA: c"), line("A:"), line("A: \xe9"), line("Expect: 100-continue"),
+	for _, raw := range []string{line("A: b"), line("a_b: c"), line("A: b\r\nA: c"), line("A:"),
+		line("A: \xe9"), line("Expect: 100-continue"),
 		host("Host: h.example:8080\r\n"), host("host: [::1]:80\r\n"), line("Accept: */*\r\nUser-Agent: x/1 (y; z)\r\nX-Call-Info: a=1,b=2")} {
 		if resp, peer := send(raw); resp.StatusCode != 200 || peer == "" {
 			t.Errorf("%q: status %d", raw, resp.StatusCode)
 		}
 	}
-	for _, raw := range []string{line("A : b"), line(": b"), line("A b: c"), line("A\x00: b"), line("A: b\x00"), line("A: b\rc"), line("A: \x7f"),
-		line("A: b\r\n c"), line(" A: b"), line("A"), line("(A): b"), line("\xe9: b"), line("x-call-id: 9c"), line("X-CALL-ID: 9b"), line("X-Again: 1\r\nx-again: 0"),
-		line("Host: h"), host(""), host("Host:\r\n"), host("Host: a b\r\n"), host("Host: a,b\r\n"), host("Host: a/b\r\n"), host("Host: u@h\r\n"), host("Host: h\r\n c\r\n"),
-		host("Host: %zz\r\n"), host("Host: \xe9\r\n"), line("Expect: 200-ok"), line("Content-Length: 0\r\nContent-Length: 0"), line("Content-Length: 0, 0"),
-		line("Content-Length: +0"), line("Content-Length:"), line("Transfer-Encoding: chunked, chunked"), line("Transfer-Encoding: identity"),
-		line("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"), line("Transfer-Encoding:\x0bchunked"), line("Transfer-Encoding: gzip, chunked"),
-		"GET  /api" + rest, "GET\t/api" + rest, "GET /api " + rest, strings.Replace("GET /api"+rest, "1.1", "2.0", 1),
-		strings.Replace("GET /api"+rest, "HTTP/1.1", "http/1.1", 1), "G@T /api" + rest, "\r\n\r\nGET /api" + rest, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+	for _, raw := range []string{line("A : b"), line(": b"), line("A b: c"), line("A\x00: b"),
+		line("A: b\x00"), line("A: b\rc"), line("A: \x7f"),
+		line("A: b\r\n c"), line(" A: b"), line("A"), line("(A): b"), line("\xe9: b"), line("x-call-id: 9c"),
+		line("X-CALL-ID: 9b"), line("X-Again: 1\r\nx-again: 0"),
+		line("Host: h"), host(""), host("Host:\r\n"), host("Host: a b\r\n"), host("Host: a,b\r\n"),
+		host("Host: a/b\r\n"), host("Host: u@h\r\n"), host("Host: h\r\n c\r\n"),
+		host("Host: %zz\r\n"), host("Host: \xe9\r\n"), line("Expect: 200-ok"),
+		line("Content-Length: 0\r\nContent-Length: 0"), line("Content-Length: 0, 0"),
+		line("Content-Length: +0"), line("Content-Length:"), line("Transfer-Encoding: chunked, chunked"),
+		line("Transfer-Encoding: identity"),
+		line("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"),
+		line("Transfer-Encoding:\x0bchunked"), line("Transfer-Encoding: gzip, chunked"),
+		line("A: b\nC: d"), strings.Replace("GET /api"+rest, "\r\n\r\n", "\r\n\n", 1),
+		strings.ReplaceAll("GET /api"+rest, "\r\n", "\n"),
+		"GET  /api" + rest, "GET\t/api" + rest, "GET /api " + rest,
+		strings.Replace("GET /api"+rest, "1.1", "2.0", 1),
+		strings.Replace("GET /api"+rest, "HTTP/1.1", "http/1.1", 1), "G@T /api" + rest,
+		"\r\n\r\nGET /api" + rest, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
 		"GET /" + strings.Repeat("a", 40<<10) + rest} {
 		if resp, peer := send(raw); resp.StatusCode < 400 || peer != "" {
 			t.Errorf("%.300q: status %d, to the peer: %q", raw, resp.StatusCode, peer)
