--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -11,7 +12,7 @@
 
 var names = Names{
 	Classes: map[string]int{"status": 0, "book": 1}, Callers: map[string]int{"acme": 0, "zen": 1},
-	Zones: map[string]int{"a": 0, "b": 1}, Kinds: map[string]int{"m1": 0, "m2": 1},
+	Zones: map[string]int{"a": 0, "b": 1}, Kinds: map[string]int{"m1": 0, "m2": 1}, Methods: []string{"GET", "POST"},
 }
 
 func TestParseCall(t *testing.T) {
@@ -31,6 +32,7 @@
 		"no budget":       {map[string]string{HeaderBudget: ""}, "", HeaderBudget},
 		"broken budget":   {map[string]string{HeaderBudget: "0.4s"}, "", HeaderBudget},
 		"broken escaping": {nil, "user=%zz", KeyParameter},
+		"two keys":        {nil, "user=a&x=1&user=b", KeyParameter},
 	} {
 		h := map[string][]string{HeaderID: {"9b1f"}, HeaderClass: {"book"}, HeaderCaller: {"zen"}, HeaderBudget: {"0.480"}}
 		for k, v := range c.change {
@@ -38,7 +40,7 @@
 				h[k] = []string{v}
 			}
 		}
-		got, err := names.ParseCall(func(n string) []string { return h[n] }, c.query)
+		got, err := names.ParseCall("POST", func(n string) []string { return h[n] }, c.query)
 		if c.bad != "" {
 			if err == nil || !strings.Contains(err.Error(), c.bad) {
 				t.Errorf("%s: error %v, want one about %s", name, err, c.bad)
@@ -51,7 +53,7 @@
 		}
 	}
 	twice := func(n string) []string { return []string{"book", "status"} }
-	if _, err := names.ParseCall(twice, ""); err == nil {
+	if _, err := names.ParseCall("POST", twice, ""); err == nil {
 		t.Error("a header given twice was taken")
 	}
 }
@@ -78,7 +80,7 @@
 func TestKeysHashAlike(t *testing.T) {
 	for query, want := range map[string]uint64{
 		"user=ab": 0x89c4407b545986a, "x=1&user=ab&y": 0x89c4407b545986a, "user=%61b": 0x89c4407b545986a,
-		"": 0, "user=": 0, "user": 0, "users=ab": 0, "x=user=ab": 0} {
+		"%75ser=ab": 0x89c4407b545986a, "": 0, "user=": 0, "user": 0, "users=ab": 0, "x=user=ab": 0} {
 		if got, err := keyOf(query); err != nil || got != want {
 			t.Errorf("%q: got %#x, %v, want %#x", query, got, err, want)
 		}
@@ -169,7 +171,7 @@
 	if c.Seed != 0x8c1f30d27a5be964 || c.Sockets != 1024 || c.ConnectTimeout != 75*time.Millisecond || c.KnownVersion != 41 ||
 		c.IdleClose != 10*time.Second || c.LongestDeadline != 600*time.Millisecond || len(c.Known.Entries) != 1 ||
 		c.Known.Entries[0].Zone != 1 || c.Settings.Zone != 1 || c.Settings.Zones != 2 || c.Settings.TryLimit != 4 ||
-		c.Settings.DrainGrace != 2500*time.Millisecond || c.Names.Classes["book"] != 1 || len(c.Settings.Tenants) != 1 {
+		c.Settings.DrainGrace != 2500*time.Millisecond || c.Names.Classes["book"] != 1 || fmt.Sprint(c.Names.Methods) != "[GET POST]" || len(c.Settings.Tenants) != 1 {
 		t.Errorf("got %+v", c)
 	}
 	for old, new := range map[string]string{
