--- a/internal/lab/rules/ask.go
+++ b/internal/lab/rules/ask.go
@@ -124,12 +124,11 @@
 	}
 	a := c.asks[0]
 	c.asks = c.asks[1:]
-	a.void = m.status != 200
 	r := askAnswer{ask: a, end: c.back.sent}
-	if !a.void {
-		if r.list, r.good = parseList(m.text); r.good {
-			r.place = max(a.place, c.j.book.placeOf(*r.list.Version))
-		}
+	if r.list, r.good = parseList(m.text); r.good && m.status == 200 {
+		r.place = max(a.place, c.j.book.placeOf(*r.list.Version))
+	} else {
+		r.good, a.void = false, true
 	}
 	c.answers = append(c.answers, r)
 	c.arrived(true)
--- a/internal/lab/rules/doc.go
+++ b/internal/lab/rules/doc.go
@@ -26,7 +26,8 @@
 	// counted from the sending of its last byte. Half of the slack is for the way
 	// to the node; what the way takes beyond that is the network's, and comes on
 	// top. The way back is not counted. A request behind another one on its
-	// connection counts from the answer to that one.
+	// connection counts from the answer to that one. As nothing is owed to a client
+	// that has left, only one that stays for the slack as well can show it.
 	Late = "late"
 	// Twice (1): there is one answer to a request, and nothing behind it.
 	Twice = "twice answered"
@@ -60,8 +61,9 @@
 	// after it came if it may not wait; by AskEvery (four times that after a
 	// failed call) without a call or a watch, of what was listed that long ago;
 	// 4 s after SIGHUP with another discovery, of what is listed then. A call
-	// that ends in an error or breaks before discovery had sent a whole answer
-	// has failed and tells nothing. Only an answer on the wire tells of Ready.
+	// that ends in an error or in what cannot be read, or breaks before discovery
+	// had sent a whole answer, has failed and tells nothing: its node cannot know
+	// more than before. Only an answer on the wire tells of Ready.
 	Drain = "drain"
 	// Cold (4): over every window of Fall within a peer's cold time, the work
 	// that reaches it is at most Overload times its mean capacity then, and one
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -529,6 +529,13 @@
 		s.pass(8 * time.Second)
 		s.serve("a", "quote")
 	}},
+	{"the answer cannot be read", "", nil, func(s *scene) {
+		s.j.Listed(3, "p1", "p1:9", gone, 0)
+		s.call("d", "?after=2&wait_ms=2000")
+		s.send("d", true, answer(`200 {"version":3,"full":false,"servers":[{"id":"p1"`))
+		s.pass(8 * time.Second)
+		s.serve("a", "quote")
+	}},
 	{"never asked", Drain, nil, func(s *scene) {
 		s.j.Listed(3, "p1", "p1:9", gone, 0)
 		s.pass(12551 * ms)
