--- a/internal/lab/rules/scan_test.go
+++ b/internal/lab/rules/scan_test.go
@@ -135,17 +135,39 @@
 
 // One run: 5,000 calls, 60,000 crossings.
 func BenchmarkRun(b *testing.B) {
-	body := strings.Repeat("x", 2000)
+	var all []link.Crossing
+	cross := func(what link.What, conn, from, to string, back bool, text string) {
+		at := time.Duration(len(all)) * 100 * time.Microsecond
+		all = append(all, link.Crossing{
+			At: at, What: what, Conn: conn, From: from, To: to, Back: back, Data: []byte(text),
+		})
+	}
+	made := answer("200 " + strings.Repeat("x", 2000))
+	for i := range 5000 {
+		c, p := fmt.Sprint("c", i%50), fmt.Sprint("p", i%50)
+		if i < 50 {
+			cross(link.Open, c, "c1", "n1:9000", false, "")
+			cross(link.Open, p, "n1", "p1:9", false, "")
+		}
+		asked := wire(fmt.Sprint(i), "quote")
+		for _, what := range []link.What{link.Sent, link.Arrived, link.Read} {
+			cross(what, c, "c1", "n1:9000", false, asked)
+		}
+		for _, back := range []bool{false, true} {
+			for _, what := range []link.What{link.Sent, link.Arrived, link.Read} {
+				cross(what, p, "n1", "p1:9", back, map[bool]string{false: asked, true: made}[back])
+			}
+		}
+		for _, what := range []link.What{link.Sent, link.Arrived, link.Read} {
+			cross(what, c, "c1", "n1:9000", true, made)
+		}
+	}
 	for b.Loop() {
 		s := newScene(nil)
-		for i := range 5000 {
-			id := fmt.Sprint("a", i)
-			s.open("c"+id[len(id)-1:], "c1", "n1:9000")
-			s.open("p"+id[len(id)-1:], "n1", "p1:9")
-			s.send("c"+id[len(id)-1:], false, wire(id, "quote"))
-			s.send("p"+id[len(id)-1:], false, wire(id, "quote"))
-			s.send("p"+id[len(id)-1:], true, answer("200 "+body))
-			s.send("c"+id[len(id)-1:], true, answer("200 "+body))
+		for _, c := range all {
+			s.now = c.At
+			s.j.See(c)
+			s.j.Tick(c.At)
 		}
 		s.j.Finish(s.now)
 		if v := s.j.Violations(); len(v) > 0 {
