Close after the reads in the network's trace test

The test closed a connection while another goroutine still read on it, which is a race of its own and gave 3 traces.

--- a/internal/lab/network/network_test.go
+++ b/internal/lab/network/network_test.go
@@ -464,6 +464,7 @@
 						p.Write([]byte("request"))
 						<-read
 					}
+					time.Sleep(50 * ms) // to close while the other reads would be a race of the node's
 				})
 			}
 		})
