--- a/internal/lab/network/faults.go
+++ b/internal/lab/network/faults.go
@@ -80,7 +80,7 @@
 // Hush silences the connections picked among those that are open now.
 func (n *Net) Hush(pick func(id string) bool) {
 	n.each(func(c *conn) {
-		if !c.ends[0].gone && !c.ends[1].gone && c.ends[1].up && pick(c.id) {
+		if !c.ends[0].gone && !c.ends[1].gone && c.ends[0].up && pick(c.id) {
 			c.silence()
 		}
 	})
--- a/internal/lab/network/faults_test.go
+++ b/internal/lab/network/faults_test.go
@@ -19,11 +19,6 @@
 
 func all(string) bool { return true }
 
-// echo is a peer that answers at once what comes.
-func echo() *ear {
-	return &ear{data: func(c link.Conn) { c.Write([]byte("answer")) }, end: link.Conn.Close}
-}
-
 // What comes of a node's exchanges with a peer, each begun at an instant on one
 // connection, while faults come and go.
 func TestFaults(t *testing.T) {
@@ -80,8 +75,7 @@
 			times{100 * ms}, times{none}, syscall.ECONNRESET, 0, false, nil},
 	}
 	for _, test := range tests {
-		e := echo()
-		heard := 0
+		e, heard := &ear{end: link.Conn.Close}, 0
 		e.data = func(c link.Conn) { heard++; c.Write([]byte("answer")) }
 		l := play(t, world.Net{}, func(l *lab) {
 			l.listen("p1:90", e)
