Word peers' errors in more ways, and spoil answers with two lengths that differ

Change: a quarter of errors is a 502, 503 or 504 that proves nothing, or has X-Rejected: 0, or a 500 with X-Rejected: 1; half of the answers with two lengths hold both forms. link's errors have Go's names.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -13,18 +13,18 @@
 
 // How a connection ends, as its Handler hears it.
 var (
-	// EOF: the other side has ended its sending; everything it sent has come.
-	EOF = errors.New("end of stream")
-	// Reset: the connection broke; the other side may or may not have read
+	// ErrEOF: the other side has ended its sending; everything it sent has come.
+	ErrEOF = errors.New("end of stream")
+	// ErrReset: the connection broke; the other side may or may not have read
 	// what was sent.
-	Reset = errors.New("reset")
-	// Unread: a reset which proves that the other side had not read all that
+	ErrReset = errors.New("reset")
+	// ErrUnread: a reset which proves that the other side had not read all that
 	// this side had sent when it closed.
-	Unread = errors.New("reset with bytes unread")
-	// Refused: nobody listens there.
-	Refused = errors.New("refused")
-	// TimedOut: the connection did not come up in time.
-	TimedOut = errors.New("connection timed out")
+	ErrUnread = errors.New("reset with bytes unread")
+	// ErrRefused: nobody listens there.
+	ErrRefused = errors.New("refused")
+	// ErrTimedOut: the connection did not come up in time.
+	ErrTimedOut = errors.New("connection timed out")
 )
 
 // Fabric carries bytes between machines, which are known by the host part of
@@ -34,7 +34,7 @@
 	// comes its handler, or nil, which resets it.
 	Listen(addr string, accept func(c Conn) Handler) (Listener, error)
 	// Dial opens a connection from a host to an address. h hears Up once it is
-	// there, or End with Refused or TimedOut.
+	// there, or End with ErrRefused or ErrTimedOut.
 	Dial(from, to string, timeout time.Duration, h Handler) Conn
 }
 
@@ -48,7 +48,7 @@
 	Up(c Conn)
 	// Data: bytes have come. They must not be kept after the call returns.
 	Data(c Conn, b []byte)
-	// End: nothing further comes. After EOF this side may still write; after
+	// End: nothing further comes. After ErrEOF this side may still write; after
 	// any other error the connection is gone. It is heard once, and not after
 	// this side's own Close.
 	End(c Conn, err error)
@@ -61,9 +61,9 @@
 	ID() string
 	// Write sends bytes. Before Up they wait.
 	Write(b []byte)
-	// CloseWrite ends the sending, and the other side hears EOF.
+	// CloseWrite ends the sending, and the other side hears ErrEOF.
 	CloseWrite()
-	// Close ends both ways; the other side hears EOF, or Unread if bytes that it
+	// Close ends both ways; the other side hears ErrEOF, or ErrUnread if bytes that it
 	// sent had not been read here.
 	Close()
 	// Reset breaks the connection.
--- a/internal/lab/network/pipe.go
+++ b/internal/lab/network/pipe.go
@@ -125,7 +125,7 @@
 	case synAck:
 		e.granted()
 	case refusal:
-		e.failed(link.Refused)
+		e.failed(link.ErrRefused)
 	case data:
 		e.c.n.see(link.Arrived, e.c, e.side == 0, x.bytes, "")
 		e.c.asked(e.side)
@@ -135,7 +135,7 @@
 	case rst:
 		e.broken(x.err)
 	case stray:
-		e.broken(link.Reset)
-		e.send(rst, nil, link.Reset)
+		e.broken(link.ErrReset)
+		e.send(rst, nil, link.ErrReset)
 	}
 }
--- a/internal/lab/world/peer/answer.go
+++ b/internal/lab/world/peer/answer.go
@@ -27,6 +27,19 @@
 	return fmt.Appendf(nil, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)
 }
 
+// failure is the answer to a call that ran and failed. Most are a 500; some word
+// it as a gateway before the server would, which proves nothing of what ran.
+func failure(wording float64) []byte {
+	odd := []struct{ status, fields string }{
+		{"502 Bad Gateway", ""}, {"503 Service Unavailable", ""}, {"504 Gateway Timeout", ""},
+		{"503 Service Unavailable", "X-Rejected: 0\r\n"}, {"500 Internal Server Error", rejected},
+	}
+	if i := int(wording * 4 * float64(len(odd))); i < len(odd) {
+		return plain(odd[i].status, odd[i].fields)
+	}
+	return plain("500 Internal Server Error", "")
+}
+
 // stream is random numbers for what an attempt's answer holds.
 func (p *Peer) stream(what string, a *call) *rand.Rand {
 	return figure.Stream(p.env.Seed, fmt.Sprintf("%s %s call %s run %d", what, p.c.Name, a.id, a.run))
@@ -142,6 +155,12 @@
 	case spoiltShort:
 		c.link.Write(fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, len(body)+1+r.IntN(100), body))
 	case spoiltTwice:
+		if r.IntN(2) == 0 { // whoever goes by the one reads another body than whoever goes by the other
+			chunk := body[:len(body)/2]
+			c.link.Write(fmt.Appendf(nil, "%sContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+				head, len(body), len(chunk), chunk))
+			return
+		}
 		c.link.Write(fmt.Appendf(nil, "%sContent-Length: %d\r\nContent-Length: %d\r\n\r\n%s",
 			head, len(body), len(body)-1-r.IntN(5), body))
 	default:
--- a/internal/lab/world/peer/conn.go
+++ b/internal/lab/world/peer/conn.go
@@ -66,7 +66,7 @@
 		return
 	}
 	c.leave()
-	if errors.Is(err, link.EOF) {
+	if errors.Is(err, link.ErrEOF) {
 		c.link.Close()
 	}
 	if j := c.job; j != nil {
--- a/internal/lab/world/peer/faults.go
+++ b/internal/lab/world/peer/faults.go
@@ -118,6 +118,7 @@
 	turnAway, breaks, early, fail, errors          float64
 	silent, spoil, spoilKind, surplus, surplusKind float64
 	framing, last                                  float64
+	wording                                        float64 // of an error
 }
 
 func drawFate(seed uint64, peer, id string, run int) (f fate) {
@@ -125,7 +126,7 @@
 	f.noise = figure.Uniform(r, 0.95, 1.05)
 	for _, u := range []*float64{
 		&f.turnAway, &f.breaks, &f.early, &f.fail, &f.errors,
-		&f.silent, &f.spoil, &f.spoilKind, &f.surplus, &f.surplusKind, &f.framing, &f.last,
+		&f.silent, &f.spoil, &f.spoilKind, &f.surplus, &f.surplusKind, &f.framing, &f.last, &f.wording,
 	} {
 		*u = r.Float64()
 	}
--- a/internal/lab/world/peer/request.go
+++ b/internal/lab/world/peer/request.go
@@ -152,10 +152,10 @@
 		c.spoil()
 	case a.quick:
 		p.stats.Failed++
-		c.send(plain("500 Internal Server Error", ""), a.last)
+		c.send(failure(a.fate.wording), a.last)
 	case a.fate.errors < p.c.Errors:
 		p.stats.Errors++
-		c.send(plain("500 Internal Server Error", ""), a.last)
+		c.send(failure(a.fate.wording), a.last)
 	case a.fate.spoil < f.spoil.share():
 		p.stats.Spoilt++
 		c.spoil()
