Let two tests hold when run again or on a busy machine

TestProgram counted on the first id of its process, and so failed from the second run of one process on; TestIdleConnections looked at the count of connections as soon as their log line came, which is just before it. Both now ask for what they mean.

--- a/cmd/olivebridge/main_test.go
+++ b/cmd/olivebridge/main_test.go
@@ -153,7 +153,7 @@
 	if status, _ := n.ask(t, "GET", "/health/ready", "", ""); status != 200 {
 		t.Errorf("ready: %d", status)
 	}
-	if status, got := n.ask(t, "POST", "/api?user=%61b", "book", "paid"); status != 200 || got != "POST /api?user=%61b 9b1f-2 paid" {
+	if status, got := n.ask(t, "POST", "/api?user=%61b", "book", "paid"); status != 200 || got != fmt.Sprintf("POST /api?user=%%61b 9b1f-%d paid", ids.Load()) {
 		t.Errorf("%d %q", status, got)
 	}
 	if status, _ := n.ask(t, "GET", "/api", "gift", ""); status != 400 {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -395,10 +395,13 @@
 	}
 	k.Try(t.Context(), tryOf(p, "GET", ""))
 	l.until("side=peer", "reason=idle")
+	for k.Conns() > 0 { // the line comes just before it counts
+		runtime.Gosched()
+	}
 	k.pool.mu.Lock()
 	defer k.pool.mu.Unlock()
-	if k.pool.open != 0 || len(k.pool.idle) != 0 {
-		t.Errorf("%d connections counted after the last ended, idle %v", k.pool.open, k.pool.idle)
+	if len(k.pool.idle) != 0 {
+		t.Errorf("idle after the last ended: %v", k.pool.idle)
 	}
 }
 
