--- a/internal/lab/fault/draw.go
+++ b/internal/lab/fault/draw.go
@@ -117,6 +117,8 @@
 	n := sc.Scale.Peers.draw(g)
 	d.perCell = sc.Peer.CellSize.draw(g)
 	falls, crowds := chance(g, sc.Peer.Falls), chance(g, sc.Peer.Crowds)
+	rooms := d.stream("waiting rooms")
+	tight, room := chance(rooms, sc.Peer.Tight), sc.Peer.TightRoom.draw(rooms)
 	for i := range n {
 		p := d.peer(i)
 		if falls {
@@ -125,6 +127,9 @@
 		if !crowds {
 			p.CrowdAt, p.Crowded = 0, 0
 		}
+		if tight { // a peer that turns away at once is sent the next call at once
+			p.Queue = p.Cores * room
+		}
 		w.Peers = append(w.Peers, p)
 		d.capacity += float64(p.Cores) * p.Speed / d.work
 	}
--- a/internal/lab/fault/scenario.go
+++ b/internal/lab/fault/scenario.go
@@ -117,6 +117,8 @@
 	Crowded   Range   `toml:"crowded" of:"world.peer.crowded"`
 	Conns     Counts  `toml:"conns" of:"world.peer.conns"` // per core
 	Handshake Spans   `toml:"handshake" of:"world.peer.handshake"`
+	Tight     float64 `toml:"tight" of:"scenario.chance"`        // share of runs whose peers have hardly a waiting room
+	TightRoom Counts  `toml:"tight_room" of:"scenario.per_core"` // which is this for a core
 	StopsWork float64 `toml:"stops_work" of:"scenario.chance"`
 }
 
