Ask discovery in short calls, with others beside one that is late

A call was held for 2 s and given up after 3 s, so one connection fallen silent left a node blind for 3 s, two in a row for 6.5 s (traced: a node learnt at 17.5 s what changed at 11.1 s). A 503, which discovery gives when too many calls are in hand, ended the watch for 2 s.

Change: a call is held for 0.6 s; 0.2 s after that another goes out beside it that does not wait, and one more each 0.45 s, up to five; the first good answer counts. A refused call is made again after 0.2 s.

--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -833,7 +833,7 @@
 	log.until("addr="+first.LocalAddr().String(), "reason=evicted")
 }
 
-// TestSilentWatch: a call that never comes back is asked again at once, but not for ever.
+// TestSilentWatch: a call that never comes back gets others beside it, but not for ever.
 func TestSilentWatch(t *testing.T) {
 	asked := make(chan bool, 10)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -842,12 +842,34 @@
 	}))
 	defer s.Close()
 	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, 1, slog.New(slog.DiscardHandler))
-	w.wait, w.slack = 20*time.Millisecond, 20*time.Millisecond
+	w.wait, w.late, w.beside, w.slack = 20*time.Millisecond, time.Millisecond, time.Millisecond, 20*time.Millisecond
 	if err := w.Watch(t.Context(), nil); err == nil || len(asked) != 1+watchAgain {
 		t.Errorf("%v after %d calls, want %d", err, len(asked), 1+watchAgain)
 	}
 }
 
+// TestLateWatch: beside a call that has fallen silent another goes out, which does not wait, and its answer
+// counts.
+func TestLateWatch(t *testing.T) {
+	var asked atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n := asked.Add(1); n == 1 {
+			<-r.Context().Done()
+		} else if n == 2 && r.FormValue("wait_ms") == "0" {
+			io.WriteString(w, `{"version":2,"full":true,"servers":[]}`)
+		} else {
+			w.WriteHeader(503)
+		}
+	}))
+	defer s.Close()
+	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, 1, slog.New(slog.DiscardHandler))
+	w.wait, w.late, w.slack = 20*time.Millisecond, time.Millisecond, time.Hour
+	lists := 0
+	if err := w.Watch(t.Context(), func(routing.Group) { lists++ }); err == nil || lists != 1 || w.version != 2 {
+		t.Errorf("%v, %d lists, version %d; want the one of the second call", err, lists, w.version)
+	}
+}
+
 // TestDrainWaits: a call that is still open when the front has stopped
 // accepting keeps its time, and its answer ends its connection.
 func TestDrainWaits(t *testing.T) {
@@ -871,9 +893,9 @@
 // TestWatch: each call names the version held; a faulty answer is asked for
 // again, once, and leaves the version, so that nothing is skipped.
 func TestWatch(t *testing.T) {
-	asked := make(chan string, 10)
+	asked := make(chan string, 11)
 	answers := []string{`{"version":41,"full":true,"servers":[]}`, `{"version":43,"full":false,"servers":[]}`,
-		"cut", `{"version":44,"full":false,"servers":[{"id":""}]}`, "", "cut", `{"version":45,"full":false,"servers":[]}`, "", "cut", "cut"}
+		"cut", `{"version":44,"full":false,"servers":[{"id":""}]}`, "", "cut", `{"version":45,"full":false,"servers":[]}`, "", "cut", "cut", ""}
 	next := 0
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked <- r.RequestURI
@@ -885,9 +907,9 @@
 	}))
 	defer s.Close()
 	w := NewWatch(strings.TrimPrefix(s.URL, "http://"), protocol.Names{}, -1, slog.New(slog.DiscardHandler))
-	w.again = 1
+	w.again, w.late = 1, time.Millisecond
 	var kinds []brain.ListKind
-	for range 4 { // the malformed list, the second in a row; the 503s; what is no JSON, twice
+	for range 4 { // what is no JSON, a malformed list, or a 503, each time the second in a row
 		if err := w.Watch(t.Context(), func(g routing.Group) { kinds = append(kinds, g.Kind) }); err == nil {
 			t.Error("no error")
 		}
@@ -895,10 +917,10 @@
 	if fmt.Sprint(kinds) != fmt.Sprint([]brain.ListKind{brain.Full, brain.Delta, brain.Delta}) {
 		t.Errorf("told %v", kinds)
 	}
-	for _, version := range []string{"", "41", "43", "43", "43", "43", "43", "45", "45", "45"} {
+	for _, version := range []string{"", "41", "43", "43", "43", "43", "43", "45", "45", "45", "45"} {
 		want := "/registry/instances"
 		if version != "" {
-			want += "?after=" + version + "&wait_ms=2000"
+			want += "?after=" + version + "&wait_ms=600"
 		}
 		if got := <-asked; got != want {
 			t.Errorf("asked %s, want %s", got, want)
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -18,13 +18,19 @@
 )
 
 const (
-	// watchWait is how long discovery may hold a call. What it tells a machine
-	// that hears nothing counts as told 2 s after that, so it stays short.
-	watchWait = 2 * time.Second
-	// watchSlack is how much later an answer may come.
+	// watchWait is how long discovery may hold a call. A call that has fallen
+	// silent tells nothing until then, and what it should have told counts as
+	// told 2 s after that, so it stays short.
+	watchWait = 600 * time.Millisecond
+	// watchLate is how much later an answer may come before another call goes out beside it,
+	// and after how long a refused one is made again.
+	watchLate = 200 * time.Millisecond
+	// watchBeside is how long a call that must not wait may take before yet another goes out.
+	watchBeside = 450 * time.Millisecond
+	// watchSlack is how much later than its wait an answer may come at all.
 	watchSlack = time.Second
-	// watchAgain is how many calls in a row may break before the watch ends.
-	watchAgain = 3
+	// watchAgain is how many calls may follow one that brings nothing before the watch ends.
+	watchAgain = 5
 	// maxList bounds a list's bytes.
 	maxList = 8 << 20
 )
@@ -36,8 +42,10 @@
 	client  *http.Client
 	version int64 // of the list held; -1: none
 	wait    time.Duration
+	late    time.Duration
+	beside  time.Duration
 	slack   time.Duration
-	again   int // calls in a row that may break
+	again   int // calls that may follow one that brings nothing
 }
 
 // NewWatch makes a watch that goes on from a known version, or from none if
@@ -51,65 +59,108 @@
 		}
 		return &peerConn{Conn: conn, life: newLife(log, "discovery", addr, func() {})}, nil
 	}
-	return &Watch{addr: addr, names: names, version: version, wait: watchWait, slack: watchSlack, again: watchAgain, client: &http.Client{
-		Transport: &http.Transport{
-			DialContext:        dial,
-			DisableCompression: true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Watch{addr: addr, names: names, version: version, wait: watchWait, late: watchLate,
+		beside: watchBeside, slack: watchSlack, again: watchAgain, client: &http.Client{
+			Transport: &http.Transport{
+				DialContext:        dial,
+				DisableCompression: true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}}
 }
 
 // errRefused is an answer of discovery's that it made on purpose.
 var errRefused = errors.New("refused")
 
-// Watch implements routing.Watcher: each call follows the last answer at once.
-// A call that never came back, or broke, is asked again at once, on a new
-// connection, for what it should have told counts as told; one broken call too many in a
-// row, or one that discovery refused, ends the watch.
+// Watch implements routing.Watcher: each answer is followed at once by the next
+// question. One that no call brought an answer to ends the watch.
 func (w *Watch) Watch(ctx context.Context, told func(routing.Group)) error {
-	broken := 0
 	for {
-		g, version, err := w.call(ctx)
-		if err != nil && broken < w.again && ctx.Err() == nil && !errors.Is(err, errRefused) && !errors.Is(err, syscall.ECONNREFUSED) {
-			broken++
-			continue
-		}
+		g, version, err := w.ask(ctx)
 		if err != nil {
 			return err
 		}
-		broken = 0
 		w.version = version
 		told(g)
 	}
 }
 
+// outcome is what one call to discovery brought: an answer's bytes, or an error.
+type outcome struct {
+	data []byte
+	err  error
+}
+
+// ask puts one question to discovery, in as many calls as it takes: what it
+// should have told counts as told. A call that broke is made again at once, on
+// a new connection; one that discovery refused, which may have too many in
+// hand, after a pause. One that is late gets others beside it, which need not
+// wait, since a connection fallen silent never tells. The first good answer counts.
+func (w *Watch) ask(ctx context.Context) (g routing.Group, version int64, err error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	came := make(chan outcome, w.again+1)
+	next := time.NewTimer(0)
+	defer next.Stop()
+	begun, out, since := 0, 0, w.version
+	for {
+		select {
+		case <-next.C:
+			if begun > w.again {
+				continue
+			}
+			wait, late := w.wait, w.wait+w.late
+			if out > 0 {
+				wait, late = 0, w.beside
+			}
+			begun, out = begun+1, out+1
+			next.Reset(late)
+			go func() { came <- w.call(ctx, since, wait) }()
+		case o := <-came:
+			out--
+			if err = o.err; err == nil {
+				g, version, err = w.names.ParseGroup(o.data)
+				g.At = time.Now()
+			}
+			switch {
+			case err == nil, ctx.Err() != nil, errors.Is(err, syscall.ECONNREFUSED), begun > w.again && out == 0:
+				return g, version, err
+			case errors.Is(err, errRefused):
+				next.Reset(w.late)
+			default:
+				next.Reset(0)
+			}
+		}
+	}
+}
+
 // call asks once: for what is newer than the version held, or for the whole list.
-func (w *Watch) call(ctx context.Context) (g routing.Group, version int64, err error) {
-	ctx, stop := context.WithTimeout(ctx, w.wait+w.slack)
+func (w *Watch) call(ctx context.Context, since int64, wait time.Duration) outcome {
+	data, err := w.fetch(ctx, since, wait)
+	if err != nil {
+		err = fmt.Errorf("upstream group: %w", err)
+	}
+	return outcome{data, err}
+}
+
+func (w *Watch) fetch(ctx context.Context, since int64, wait time.Duration) ([]byte, error) {
+	ctx, stop := context.WithTimeout(ctx, wait+w.slack)
 	defer stop()
 	u := url.URL{Scheme: "http", Host: w.addr, Path: protocol.PathGroup}
-	if w.version >= 0 {
-		u.RawQuery = "after=" + strconv.FormatInt(w.version, 10) +
-			"&wait_ms=" + strconv.FormatInt(w.wait.Milliseconds(), 10)
+	if since >= 0 {
+		u.RawQuery = "after=" + strconv.FormatInt(since, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return g, 0, fmt.Errorf("upstream group: %w", err)
+		return nil, err
 	}
 	resp, err := w.client.Do(req)
 	if err != nil {
-		return g, 0, fmt.Errorf("upstream group: %w", err)
+		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
-	switch {
-	case err != nil:
-		return g, 0, fmt.Errorf("upstream group: %w", err)
-	case resp.StatusCode != http.StatusOK:
-		return g, 0, fmt.Errorf("upstream group: %w: status %d", errRefused, resp.StatusCode)
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", errRefused, resp.StatusCode)
 	}
-	g, version, err = w.names.ParseGroup(data)
-	g.At = time.Now()
-	return g, version, err
+	return io.ReadAll(io.LimitReader(resp.Body, maxList))
 }
