Send a second copy after half an aim where tries get overtaken

No choice of connection avoids it. Lost harmless tries were sent again only once overtaken, 85 to 120 ms after they left, when the aim of 80 or 90 ms was over: 107 of the 160 late answers of the first 7.7 s. A lost try also held its place until it timed out; a peer with a limit of one got no further work meanwhile, so that nothing could overtake it, and was cut and taken for Down: three of nine sound peers were out of one node's table at 15 s.

Change: the share of tries overtaken is learnt. A harmless request without an answer after half its aim goes to another peer of the zone as well, four copies for each try overtaken at most. The first copy goes on, to show whether it is overtaken. From two in a hundred on, a try that is out longer than its aim frees its place and says nothing of its peer.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -16,31 +17,29 @@
 const (
 	rise, fall                              = 2, 3 // passes to Up, failures to Down
 	probeEvery, probeFast, probeDown        = 2 * time.Second, 1 * time.Second, 4 * time.Second
-	probeShare, probesHeld                  = 0.1, 4.0  // probes a request at most, and in hand
-	spill, groupTries                       = 3, 48     // entries a key may take, a further attempt
-	badStep, medianStep                     = 0.1, 0.02 // weight of one outcome
-	tickRef                          uint64 = 1
+	forgetAfter, warmup                     = time.Minute, 30 * time.Second
+	probeShare, probesHeld                  = 0.1, 4.0        // probes a request at most, and in hand
+	spill, groupTries                       = 3, 48           // entries a key may take, a further attempt
+	badStep, medianStep, hushStep           = 0.1, 0.02, 0.02 // weight of one outcome
+	retryShare, copyShare                   = 0.15, 4.0       // further attempts a request; see second
+	zoneRoom, zoneWorth                     = 1.2, 0.1        // keys that stay, cost of imbalance: see build
+	tableSize, weightSteps                  = 2039, 64        // a prime; weights are rounded to this part
+	tickRef, copyRef                 uint64 = 1, 2            // copyRef: and on, of a request's second copy
 
 	maxInterval  = 5 * time.Second // a node without traffic sends one probe in this time
 	probeTimeout = 1 * time.Second
-	probeCost    = 0.0025           // of the result that probes may cost, see probe
-	forgetAfter  = time.Minute      // since a server that is gone left the table
-	warmup       = 30 * time.Second // a fresh node trusts ready servers this long without a result
-	tableSize    = 2039             // prime
-	weightSteps  = 64               // a weight is rounded to this share of the largest
+	probeCost    = 0.0025 // of the result that probes may cost, see probe
 	tickEvery    = 50 * time.Millisecond
 	maxAttempts  = 6       // attempts kept for a request, whatever the settings allow
 	firstLimit   = 4       // in-flight allowed to a server before anything is learnt
 	calm         = 0.15    // latency, as a share of the aim, up to which a server may be given more
-	retryShare   = 0.15    // further attempts, as a share of requests
 	coldPart     = 1.0 / 6 // of the overload multiple, see coldRoom
 	spillRoom    = 0.5     // share of its room that a server leaves to keys of others
 	logLines     = 20      // at once; then one a second
 	carryRise    = 0.1     // how much of a rise in what servers carry is believed at once
+	hushed       = 0.02    // of attempts overtaken: where more are, a late one counts as such, see silent
 	late         = 0.4     // of the aim: the window shrinks while half of the answers wait longer
 	windowGrowth = 0.15    // what a calm answer adds to a node's window
-	zoneRoom     = 1.2     // of a zone's part of the fleet: keys that stay, see build
-	zoneWorth    = 0.1     // what imbalance costs a zone of one server, see build
 	reserve      = 0.4     // share of a server's limit kept from the least worth
 )
 
@@ -111,7 +110,7 @@
 		r.share = min(r.share, 1-reserve)
 	}
 	b.open[r.id] = r
-	b.retries = min(b.retries+retryShare, 10)
+	b.retries, b.copies = min(b.retries+retryShare, 10), min(b.copies+copyShare*b.hush, 10)
 	b.probes = min(b.probes+min(probeShare, probeCost/max(b.set.ProbePrice, 1e-9)), probesHeld)
 	if c.Serial && r.key != 0 && !b.join(r) {
 		b.giveUp(r)
@@ -125,8 +124,8 @@
 func (b *Balancer) join(r *request) bool {
 	l := b.byKey[r.key]
 	if l == nil {
-		l = &line{key: r.key}
-		b.byKey[r.key], b.lines = l, append(b.lines, l)
+		l = &line{}
+		b.byKey[r.key] = l
 	}
 	ahead := max(l.rest-b.now, 0)
 	for _, q := range l.in {
@@ -226,7 +225,7 @@
 	}
 	for i := range tries {
 		s := b.table[h%tableSize]
-		if near && i < spill-1 {
+		if near && i < spill-1 || r.out > 0 && b.keep > 0 {
 			s = b.near[h%tableSize]
 		}
 		if b.fits(r, s, share) {
@@ -306,6 +305,25 @@
 	r.attempts[r.n] = attempt{to: s, sent: b.now, out: true}
 	r.n, r.out = r.n+1, r.out+1
 	b.host.Send(r.id, s.ID, 0)
+	if half := r.class.Aim / 2; b.copies >= 1 && b.set.SecondCopies && b.again(r) {
+		b.host.SetTimer(max(half-time.Duration(b.now-r.arrived), half/2), copyRef+uint64(r.id))
+	}
+}
+
+// again reports whether a request that was sent once may be sent again, whatever became of it.
+func (b *Balancer) again(r *request) bool {
+	return r.n == 1 && r.class.Effect == Pure && !r.class.Stream && b.set.TryLimit > 1
+}
+
+// second sends a copy of a request that half its aim has brought no answer, within its zone, while others'
+// answers get lost as well. It costs work that serves nobody, so copies are a few times the losses at most.
+func (b *Balancer) second(r *request) {
+	if r != nil && !r.done && r.out == 1 && b.again(r) && b.copies >= 1 && b.now < r.deadline {
+		if s := b.pick(r); s != nil {
+			b.copies--
+			b.send(r, s)
+		}
+	}
 }
 
 // Outcome takes the end of an attempt and sends a further one, or ends the request.
@@ -326,18 +344,21 @@
 		r.line.rest = b.now + Time(b.set.Settle)
 	}
 	if r.done || o.Closed {
+		r.done = r.done || o.Result == OK // a copy goes on, to tell whether it is overtaken
 		b.end(r)
 		return
 	}
 	// What broke its connection may have brought the server down: it is not spread further. It guards against
 	// requests that kill whatever runs them; those beside one, or on a machine that died, go unserved.
 	miss := a.never && r.n < 2 && o.Result != Moot // the first that proves nothing ran is free
-	if r.deadly = o.Result == Reset; !r.deadly && (miss || b.retries >= 1) {
+	switch r.deadly = o.Result == Reset; {
+	case r.out > 0 && !a.never: // a copy is under way
+	case !r.deadly && (miss || b.retries >= 1):
 		if !miss {
 			b.retries--
 		}
 		b.forward(r)
-	} else if r.out == 0 {
+	case r.out == 0:
 		b.giveUp(r)
 	}
 }
@@ -351,38 +372,48 @@
 	}
 }
 
-// overtaken reports whether the server answered well what was sent much later: then a is stuck alone, on a
-// connection that fell silent or with work far above its like, and tells nothing of the server's load.
-func overtaken(r *request, a *attempt) bool { return a.to.newest > a.sent+Time(r.class.Aim/2) }
+// silent reports whether a is stuck alone, on a connection that fell silent or with work far above its like,
+// and tells nothing of its server's load: surely, if the server has answered well what was sent much later
+// (a is overtaken); likely, if a is late and lately others were overtaken.
+func (b *Balancer) silent(r *request, a *attempt) (likely, sure bool) {
+	sure = a.to.newest > a.sent+Time(r.class.Aim/2)
+	return sure || b.hush > hushed && b.now > a.sent+Time(r.class.Aim), sure
+}
 
-// sweep finds the attempts that are overtaken. They count as in flight no more, and where a repeat is
-// harmless another is sent. It guards against connections that fall silent, which would fill every limit
-// with requests that no server holds; it costs a second run of what was only slow.
+// sweep finds the attempts that are silent. They count as in flight no more, and where one is overtaken and a
+// repeat is harmless another is sent. It guards against connections that fall silent, which would fill each
+// limit with requests that no server holds; it costs a second run of what was only slow.
 func (b *Balancer) sweep() {
-	var again []*request
+	var off []Outcome
 	for _, r := range b.open {
-		if a := &r.attempts[max(r.n-1, 0)]; !r.done && a.out && !a.lost && overtaken(r, a) {
-			b.landed(a)
-			if r.class.Effect == Pure && !r.class.Stream && r.n == 1 && b.set.Cancel && b.set.TryLimit > 1 {
-				again = append(again, r)
+		for i := range r.n {
+			a := &r.attempts[i]
+			likely, sure := b.silent(r, a)
+			if !a.out || a.mute || !likely {
+				continue
+			}
+			if b.landed(a); sure {
+				a.mute = true
+				b.hush += hushStep * (1 - b.hush)
+			}
+			if sure && b.set.Cancel && (r.done || b.again(r)) {
+				off = append(off, Outcome{ID: r.id, Attempt: i})
 			}
 		}
 	}
-	slices.SortFunc(again, func(p, q *request) int { return cmp.Compare(p.id, q.id) })
-	for _, r := range again {
-		b.host.Cancel(r.id, 0) // its outcome brings the next attempt
+	slices.SortStableFunc(off, func(p, q Outcome) int { return cmp.Compare(p.ID, q.ID) })
+	for _, o := range off {
+		b.host.Cancel(o.ID, o.Attempt) // its outcome brings the next attempt
 	}
 }
 
 // giveUp answers a request at once: a refusal where the class lets the client try again, else a failure.
 func (b *Balancer) giveUp(r *request) {
-	harmless := r.class.Effect == Pure || r.class.Effect == Token && r.class.Scope == ScopeAll
-	if !harmless {
-		harmless = true
-		for i := range r.n {
-			harmless = harmless && r.attempts[i].never
-		}
+	harmless := true
+	for i := range r.n {
+		harmless = harmless && r.attempts[i].never
 	}
+	harmless = harmless || r.class.Effect == Pure || r.class.Effect == Token && r.class.Scope == ScopeAll
 	after := time.Duration(0)
 	if b.set.RetryAfter {
 		after = min(b.jitter(time.Duration(2*b.lat*float64(time.Second))), b.set.MaxRetryAfter)
@@ -419,8 +450,10 @@
 	if !r.done {
 		r.done = true
 		b.leave(r)
-		if r.out > 0 && b.set.Cancel {
-			b.host.Cancel(r.id, r.n-1) // no second copy is ever sent
+		for i := range r.n {
+			if r.attempts[i].out && b.set.Cancel {
+				b.host.Cancel(r.id, i)
+			}
 		}
 	}
 	if r.out == 0 {
@@ -437,8 +470,8 @@
 	if o.Result == Cancelled || o.Result == Moot {
 		return
 	}
-	good, e := o.Result == OK, 1.0
-	slow := o.Result == TimedOut && !overtaken(r, a)
+	silent, _ := b.silent(r, a)
+	good, slow, e := o.Result == OK, o.Result == TimedOut && !silent, 1.0
 	if good || o.Result == Errored || o.Result == Rejected {
 		s.heard = b.now
 	}
@@ -448,6 +481,7 @@
 		return
 	}
 	if good {
+		b.hush -= hushStep * b.hush
 		s.served, s.newest = b.now, max(s.newest, a.sent)
 		s.done += r.cost
 		c, x := r.class, o.Latency.Seconds()/max(aim.Seconds(), 1e-3)
@@ -655,19 +689,14 @@
 func (b *Balancer) Wake(now Time, ref uint64) {
 	b.now = now
 	if ref != tickRef {
+		b.second(b.open[RequestID(ref-copyRef)])
 		return
 	}
 	b.host.SetTimer(tickEvery, tickRef)
 	b.watch()
 	b.sweep()
 	b.admit()
-	b.lines = slices.DeleteFunc(b.lines, func(l *line) bool {
-		idle := len(l.in) == 0 && now >= l.rest
-		if idle {
-			delete(b.byKey, l.key)
-		}
-		return idle
-	})
+	maps.DeleteFunc(b.byKey, func(_ uint64, l *line) bool { return len(l.in) == 0 && now >= l.rest })
 	b.measure()
 	silence := Time(4 * b.lat * float64(time.Second))
 	b.probes += tickEvery.Seconds() / maxInterval.Seconds()
@@ -754,8 +783,7 @@
 func (b *Balancer) count(s *server, pass bool) {
 	switch {
 	case s.unknown:
-		s.unknown = false
-		s.counter = rise - 1
+		s.unknown, s.counter = false, rise-1
 		if pass {
 			s.counter = rise
 		}
--- a/brain/state.go
+++ b/brain/state.go
@@ -31,7 +31,8 @@
 	sent  Time
 	out   bool
 	never bool // proved never to have run
-	lost  bool // overtaken: not counted as in flight any more
+	lost  bool // silent: not counted as in flight any more
+	mute  bool // surely so
 }
 
 type request struct {
@@ -50,7 +51,6 @@
 
 // line holds the requests of one key, in the order taken, whose classes keep that order.
 type line struct {
-	key  uint64
 	in   []*request
 	rest Time // nothing further is sent before
 }
@@ -94,17 +94,16 @@
 	byID                    map[ServerID]*server
 	open                    map[RequestID]*request
 	byKey                   map[uint64]*line
-	lines                   []*line
 	waiting                 []*request         // for their turn or for room, the most worth first
 	table, near             [tableSize]*server // near: of this zone's servers alone
 	keep, largest           float64            // share of keys that stay in the zone; largest listed size
 	full, dirty             bool               // the table holds servers; it is to be built anew
 	built                   Time
-	lat, median             float64 // mean latency of good answers; median wait as a share of the aim
+	lat, median, hush       float64 // mean latency; median wait as a share of the aim; share overtaken
 	window                  float64 // in-flight over all servers that this node allows itself
 	inflight                int
 	cutAt                   Time    // when the window was last cut
-	retries, probes         float64 // further attempts and probes in hand
+	retries, probes, copies float64 // further attempts, probes and second copies in hand
 	short                   int     // where the first server stands whose probe was due and not in hand
 	carried                 float64 // work a second that warm servers carry, per unit of size
 	carryAt, askAt, logFrom Time    // logFrom: one line is free for each second since
