Let keys of a full zone go elsewhere, and leave larger servers more room

While a release takes two of its zone's five peers away, the three left get 86 tries a second each, those of the other zone 52 (traced, 9.2 to 11 s), since four keys in five stay, and a key looks at two entries of the zone and one more at a quarter of the room. In the worst quarter second 97 of 144 calls were refused with 15 in flight and room for 25; 60 of the 144 were clients' returns. Aims are five times the work there, so that usual answers passed for waits: a large, slow peer stood at a limit of one (20 tries a second; another of its weight, 75), and the window fell from 547 to 39 in 0.7 s. A draining peer turned away 46 tries in 350 ms, until discovery told.

Change: a key has eight entries, two of the zone and six of all; a limit is 1.5 at least for the largest; limits grow up to a wait of 0.2 of the aim (0.15) and the window shrinks from 0.55 on (0.4); a peer that turned a try away gets none for an aim.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,9 +19,11 @@
 	probeEvery, probeFast, probeDown        = 2 * time.Second, 1 * time.Second, 4 * time.Second
 	forgetAfter, warmup                     = time.Minute, 30 * time.Second
 	probeShare, probesHeld                  = 0.1, 4.0        // probes a request at most, and in hand
-	spill, groupTries                       = 3, 48           // entries a key may take, a further attempt
+	spill, nearSpill, groupTries            = 8, 2, 48        // entries: of a key, of its zone, see pick
 	badStep, medianStep, hushStep           = 0.1, 0.02, 0.02 // weight of one outcome
 	retryShare, copyShare                   = 0.15, 4.0       // further attempts a request; see second
+	firstLimit, leastLimit                  = 4, 1.5          // in flight: new servers, the largest at least
+	calm, late                              = 0.2, 0.55       // waits, as shares of the aim: see learn, pace
 	zoneRoom, zoneWorth                     = 1.2, 0.1        // keys that stay, cost of imbalance: see build
 	tableSize, weightSteps                  = 2039, 64        // a prime; weights are rounded to this part
 	tickRef, copyRef                 uint64 = 1, 2            // copyRef: and on, of a request's second copy
@@ -31,14 +33,11 @@
 	probeCost    = 0.0025 // of the result that probes may cost, see probe
 	tickEvery    = 50 * time.Millisecond
 	maxAttempts  = 6       // attempts kept for a request, whatever the settings allow
-	firstLimit   = 4       // in-flight allowed to a server before anything is learnt
-	calm         = 0.15    // latency, as a share of the aim, up to which a server may be given more
 	coldPart     = 1.0 / 6 // of the overload multiple, see coldRoom
 	spillRoom    = 0.5     // share of its room that a server leaves to keys of others
 	logLines     = 20      // at once; then one a second
 	carryRise    = 0.1     // how much of a rise in what servers carry is believed at once
 	hushed       = 0.02    // of attempts overtaken: where more are, a late one counts as such, see silent
-	late         = 0.4     // of the aim: the window shrinks while half of the answers wait longer
 	windowGrowth = 0.15    // what a calm answer adds to a node's window
 	reserve      = 0.4     // share of a server's limit kept from the least worth
 )
@@ -225,13 +224,13 @@
 	}
 	for i := range tries {
 		s := b.table[h%tableSize]
-		if near && i < spill-1 || r.out > 0 && b.keep > 0 {
+		if near && i < nearSpill || r.out > 0 && b.keep > 0 {
 			s = b.near[h%tableSize]
 		}
 		if b.fits(r, s, share) {
 			return s
 		}
-		if h = mix(h); i < spill {
+		if h = mix(h); i < spill && !(near && i == nearSpill-1) {
 			share *= spillRoom
 		}
 	}
@@ -254,7 +253,7 @@
 // all its answers since in a large fleet it hears from one server too seldom. Chance, drawn once a request,
 // is for its fraction. It guards against whatever slows most servers at once; a few slow ones leave it alone.
 func (b *Balancer) fits(r *request, s *server, share float64) bool {
-	return s.outAt == 0 && float64(s.inflight) < max(s.limit*share, 1) &&
+	return s.outAt == 0 && b.now >= s.shut && float64(s.inflight) < max(s.limit*share, 1) &&
 		float64(b.inflight)+r.luck < b.window*r.share && b.listed(s) && b.may(r, s) && b.coldRoom(s, r)
 }
 
@@ -477,6 +476,7 @@
 	}
 	aim := min(r.class.Aim+time.Duration(r.class.AimStretch*r.cost*float64(time.Second)), r.class.Deadline)
 	if o.Result == Rejected {
+		s.shut = b.now + Time(aim)
 		b.cutLimit(s, 0.7, aim)
 		return
 	}
@@ -549,7 +549,7 @@
 func (b *Balancer) cutLimit(s *server, by float64, aim time.Duration) {
 	if b.now-s.cutAt >= Time(aim/4) {
 		s.cutAt = b.now
-		s.limit = max(s.limit*by, 1)
+		s.limit = max(s.limit*by, 1, leastLimit*min(s.size/max(b.largest, 1e-9), 1))
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -804,6 +804,63 @@
 	}
 }
 
+// A key whose entries of the zone are full finds an idle server elsewhere, and is not refused for want of looking.
+func TestSpillLeavesAFullZone(t *testing.T) {
+	set := base()
+	set.Zones, set.CrossPrice = 2, 0.1
+	g := start(t, set, 1, fleet(12)...)
+	for _, s := range g.b.servers {
+		if s.Zone == set.Zone {
+			s.limit, s.inflight = 1, 1
+		}
+	}
+	sent := 0
+	for key := uint64(1); key <= 60; key++ {
+		id := g.ask(0, key)
+		for n := range g.open[id].shots {
+			sent++
+			g.answer(id, n, OK)
+		}
+	}
+	if sent < 57 {
+		t.Errorf("%d of 60 sent", sent)
+	}
+	g.check()
+}
+
+// A server that turned a request away, as those do that drain, gets nothing new for an aim.
+func TestTurnedAwayRests(t *testing.T) {
+	g := start(t, base(), 1, fleet(1)...)
+	g.answer(g.ask(0, 7), 0, Rejected)
+	for i, want := range []int{0, 0, 1} {
+		id := g.ask(1, 7)
+		if n := len(g.open[id].shots); n != want {
+			t.Errorf("%d: sent %d times, want %d", i, n, want)
+		}
+		g.pass(600*time.Millisecond, time.Millisecond, always)
+	}
+	g.check()
+}
+
+// However slow its answers, one of the largest servers keeps room for two, and any for one.
+func TestLeastLimit(t *testing.T) {
+	servers := fleet(2)
+	servers[0].Weight = 1.5
+	g := start(t, base(), 1, servers...)
+	g.ask(0, 7) // the table is built
+	for i, want := range []float64{leastLimit, 1} {
+		s := g.b.byID[servers[i].ID]
+		for range 20 {
+			g.now += 300 * ms
+			g.b.now = g.now
+			g.b.cutLimit(s, 0.5, time.Second)
+		}
+		if s.limit != want {
+			t.Errorf("server of weight %v: limit %v, want %v", s.size, s.limit, want)
+		}
+	}
+}
+
 // An attempt that much later ones overtook is stuck alone: it fills no limit, its end is no sign of a jam, and a
 // harmless request goes to another server while it can still be served in time.
 func TestOvertaken(t *testing.T) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -17,7 +17,7 @@
 	ease, blame       float64 // mean wait as a share of the aim; failures of real work not yet counted
 	probeAt, probing  Time    // when the next probe is due; when the one out was sent, 0: none
 	heard, served     Time    // last answer, or when it became busy; last good answer to real work
-	newest            Time    // when the last sent of those that were answered well was sent
+	newest, shut      Time    // when the last sent of those answered well was; nothing is sent before
 	cutAt, outAt      Time    // when the limit was last cut; when it left the table, 0: it is in
 	doubt, rampFrom   Time    // passed probes prove nothing before; when the ramp began
 	pause, rampFor    time.Duration
