--- a/brain/brain.go
+++ b/brain/brain.go
@@ -305,7 +305,8 @@
 	r.n, r.out = r.n+1, r.out+1
 	b.host.Send(r.id, s.ID, 0)
 	if half := r.class.Aim / 2; b.copies >= 1 && b.set.SecondCopies && b.again(r) {
-		b.host.SetTimer(max(half-time.Duration(b.now-r.arrived), half/2), copyRef+uint64(r.id))
+		spread := time.Duration(r.luck * float64(time.Millisecond)) // of those sent at one instant
+		b.host.SetTimer(max(half-time.Duration(b.now-r.arrived), half/2+spread), copyRef+uint64(r.id))
 	}
 }
 
@@ -383,8 +384,8 @@
 // repeat is harmless another is sent. It guards against connections that fall silent, which would fill each
 // limit with requests that no server holds; it costs a second run of what was only slow.
 func (b *Balancer) sweep() {
-	var off []Outcome
-	for _, r := range b.open {
+	off, found := []Outcome(nil), 0
+	for _, r := range b.open { // in any order: what is found counts once all have been looked at
 		for i := range r.n {
 			a := &r.attempts[i]
 			likely, sure := b.silent(r, a)
@@ -392,14 +393,14 @@
 				continue
 			}
 			if b.landed(a); sure {
-				a.mute = true
-				b.hush += hushStep * (1 - b.hush)
+				a.mute, found = true, found+1
 			}
 			if sure && b.set.Cancel && (r.done || b.again(r)) {
 				off = append(off, Outcome{ID: r.id, Attempt: i})
 			}
 		}
 	}
+	b.hush = 1 - (1-b.hush)*math.Pow(1-hushStep, float64(found))
 	slices.SortStableFunc(off, func(p, q Outcome) int { return cmp.Compare(p.ID, q.ID) })
 	for _, o := range off {
 		b.host.Cancel(o.ID, o.Attempt) // its outcome brings the next attempt
@@ -782,11 +783,10 @@
 // count steps the counter.
 func (b *Balancer) count(s *server, pass bool) {
 	switch {
+	case s.unknown && pass:
+		s.unknown, s.counter = false, rise
 	case s.unknown:
 		s.unknown, s.counter = false, rise-1
-		if pass {
-			s.counter = rise
-		}
 	case pass:
 		s.counter = min(s.counter+1, rise+fall-1)
 	default:
--- a/internal/lab/stage/node.go
+++ b/internal/lab/stage/node.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"time"
 
 	"olivebridge/internal/lab/figure"
@@ -95,7 +96,11 @@
 	}
 	l.config = c
 	return node.Start(c, node.Parts{
-		Listen: listen, Dial: dial, Log: log,
+		Listen: func(addr string) (net.Listener, error) {
+			l, err := listen(addr)
+			return pace{l}, err
+		},
+		Dial: dial, Log: log,
 		Wrap:   func(c routing.Carrier) routing.Carrier { return spread{c, i.run.places} },
 		Follow: func(w routing.Watcher) routing.Watcher { return lag{w} },
 	})
--- a/internal/lab/stage/spread.go
+++ b/internal/lab/stage/spread.go
@@ -2,12 +2,27 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"olivebridge/brain"
 	"olivebridge/internal/routing"
 )
 
+// pace is a listener that gives out one connection after the other: once a
+// crowded node has made room, several that have sent their requests already
+// would be read at one instant.
+type pace struct{ net.Listener }
+
+const paceEach = time.Microsecond + 3
+
+// Accept implements net.Listener.
+func (p pace) Accept() (net.Conn, error) {
+	c, err := p.Listener.Accept()
+	time.Sleep(paceEach)
+	return c, err
+}
+
 // lag is a watch whose news comes some nanoseconds late: a call to discovery
 // that began with the node, and was never answered, ends at the very instant of
 // one of its ticks.
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"olivebridge/brain"
@@ -13,6 +14,7 @@
 	id       brain.RequestID
 	answer   chan Answer // holds one, so that giving it never waits
 	answered bool        // it is given, or nobody waits for it
+	over     atomic.Bool // the same, for the carrier
 	deadline brain.Time
 	tries    []context.CancelCauseFunc // by attempt; nil once its outcome is in
 	out      int
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"olivebridge/brain"
@@ -54,7 +55,8 @@
 	Call    brain.RequestID // never the same for two calls of one node's life
 	Attempt int             // the call's tries count from 0
 	Peer    *Peer
-	Until   time.Time // the carrier stops waiting then
+	Until   time.Time    // the carrier stops waiting then
+	Over    *atomic.Bool // its call has been answered: it must not begin any more; nil: never
 	Payload any
 }
 
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -37,6 +37,7 @@
 func (r *Router) relay(e *openCall, a Answer) {
 	if !e.answered {
 		e.answered = true
+		e.over.Store(true)
 		e.answer <- a
 	}
 }
@@ -71,6 +72,7 @@
 		return
 	}
 	h.e.answered = true
+	h.e.over.Store(true)
 	defer r.book(h.e)
 	r.brain.HangUp(r.now(), h.e.id)
 }
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -22,5 +22,5 @@
 	e.tries = append(e.tries, cancel)
 	e.out++
 	r.count.Tries.Add(1)
-	r.send(ctx, Try{Call: id, Attempt: len(e.tries) - 1, Peer: p, Until: r.instant(until), Payload: e.Payload})
+	r.send(ctx, Try{Call: id, Attempt: len(e.tries) - 1, Peer: p, Until: r.instant(until), Over: &e.over, Payload: e.Payload})
 }
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -73,7 +73,7 @@
 	}
 	header := maps.Clone(m.header)
 	header[protocol.HeaderBudget] = []string{protocol.FormatSeconds(time.Until(t.Until))}
-	return k.exchange(ctx, t.Peer, m, header)
+	return k.exchange(ctx, t.Peer, m, header, t.Over)
 }
 
 // Probe implements routing.Carrier.
@@ -81,18 +81,21 @@
 	ctx, stop := context.WithTimeoutCause(ctx, 4*k.config.Load().ConnectTimeout, routing.ErrTimeUp)
 	defer stop()
 	m := &message{method: http.MethodGet, target: protocol.PathLive, host: p.Addr}
-	return k.exchange(ctx, p, m, http.Header{}).Result
+	return k.exchange(ctx, p, m, http.Header{}, nil).Result
 }
 
 // exchange sends one message to a peer, at most once, and waits for the answer.
-func (k *Carrier) exchange(ctx context.Context, p *routing.Peer, m *message, header http.Header) routing.TryResult {
+// A try whose call is over by the time that its connection is there never
+// leaves: a copy may find that the first has been answered.
+func (k *Carrier) exchange(ctx context.Context, p *routing.Peer, m *message, header http.Header,
+	over *atomic.Bool) routing.TryResult {
 	c, err := k.pool.get(ctx, p)
 	switch {
 	case err != nil && (context.Cause(ctx) != nil || errors.Is(err, errNoRoom)):
 		return routing.TryResult{Result: brain.Moot} // not the peer's doing
 	case err != nil:
 		return routing.TryResult{Result: brain.ConnectFailed}
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || over != nil && over.Load():
 		k.pool.put(c)
 		return routing.TryResult{Result: brain.Moot}
 	case !p.OpenFor(time.Now(), k.config.Load().DrainGrace):
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -365,6 +365,23 @@
 	}
 }
 
+// TestOverBeforeItLeft: a copy whose call was answered while its connection came up is never sent.
+func TestOverBeforeItLeft(t *testing.T) {
+	p := listenOn(t, func(conn net.Conn) {
+		if n, _ := io.Copy(io.Discard, conn); n != 0 {
+			t.Errorf("%d bytes reached a peer after the call was over", n)
+		}
+	})
+	k, _ := newCarrier(time.Second)
+	try := tryOf(p, "GET", "")
+	try.Over = new(atomic.Bool)
+	try.Over.Store(true)
+	if r := k.Try(t.Context(), try); r.Result != brain.Moot {
+		t.Errorf("result %d", r.Result)
+	}
+	k.Close()
+}
+
 // TestLeavingPeer holds the drain rule where it counts, at the first byte: a
 // peer past its grace gets none, though the connection is up.
 func TestLeavingPeer(t *testing.T) {
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -42,8 +42,9 @@
 type Watch struct {
 	addr    string
 	names   protocol.Names
-	client  *http.Client
-	version int64 // of the list held; -1: none
+	client  *http.Client // for one call at a time
+	others  *http.Client // for those beside it: each on a connection of its own
+	version int64        // of the list held; -1: none
 	wait    time.Duration
 	late    time.Duration
 	beside  time.Duration
@@ -63,11 +64,14 @@
 		}
 		return &peerConn{Conn: conn, life: newLife(log, "discovery", addr, func() {})}, nil
 	}
-	client := &http.Client{
-		Transport:     &http.Transport{DialContext: connect, DisableCompression: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	// http.Transport may give a connection that falls idle to a call that is being given up
+	client := func(once bool) *http.Client {
+		return &http.Client{
+			Transport:     &http.Transport{DialContext: connect, DisableCompression: true, DisableKeepAlives: once},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
 	}
-	return &Watch{addr: addr, names: names, client: client, version: version,
+	return &Watch{addr: addr, names: names, client: client(false), others: client(true), version: version,
 		wait: watchWait, late: watchLate, beside: watchBeside, slack: watchSlack, again: watchAgain}
 }
 
@@ -78,7 +82,8 @@
 // question. One that no call brought an answer to ends the watch, and its
 // connections with it.
 func (w *Watch) Watch(ctx context.Context, told func(routing.Group)) error {
-	defer w.client.CloseIdleConnections() // and what is still dialed, for a call that was given up
+	defer w.others.CloseIdleConnections() // and what is still dialed, for a call that was given up
+	defer w.client.CloseIdleConnections()
 	for {
 		g, version, err := w.ask(ctx)
 		if err != nil {
@@ -113,13 +118,13 @@
 			if begun > w.again {
 				continue
 			}
-			wait, late := w.wait, w.wait+w.late
+			client, wait, late := w.client, w.wait, w.wait+w.late
 			if out > 0 {
-				wait, late = 0, w.beside
+				client, wait, late = w.others, 0, w.beside
 			}
 			begun, out = begun+1, out+1
 			next.Reset(late)
-			go func() { came <- w.call(ctx, since, wait) }()
+			go func() { came <- w.call(ctx, client, since, wait) }()
 		case o := <-came:
 			out--
 			if err = o.err; err == nil {
@@ -139,15 +144,15 @@
 }
 
 // call asks once: for what is newer than the version held, or for the whole list.
-func (w *Watch) call(ctx context.Context, since int64, wait time.Duration) outcome {
-	data, err := w.fetch(ctx, since, wait)
+func (w *Watch) call(ctx context.Context, client *http.Client, since int64, wait time.Duration) outcome {
+	data, err := w.fetch(ctx, client, since, wait)
 	if err != nil {
 		err = fmt.Errorf("upstream group: %w", err)
 	}
 	return outcome{data, err}
 }
 
-func (w *Watch) fetch(ctx context.Context, since int64, wait time.Duration) ([]byte, error) {
+func (w *Watch) fetch(ctx context.Context, client *http.Client, since int64, wait time.Duration) ([]byte, error) {
 	ctx, stop := context.WithTimeout(ctx, wait+w.slack)
 	defer stop()
 	u := url.URL{Scheme: "http", Host: w.addr, Path: protocol.PathGroup}
@@ -158,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := w.client.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
