--- a/internal/lab/stage/result.go
+++ b/internal/lab/stage/result.go
@@ -3,6 +3,7 @@
 package stage
 
 import (
+	"fmt"
 	"time"
 
 	"olivebridge/internal/lab/rules"
@@ -34,6 +35,12 @@
 	Whole      float64 `json:"whole"` // asked
 }
 
+// String is the tally in one line; worth is the share of what was asked.
+func (t Tally) String() string {
+	return fmt.Sprintf("asked %d served %d late %d refused %d failed %d unanswered %d left %d retries %d tries %d worth %.4f",
+		t.Asked, t.Served, t.Late, t.Refused, t.Failed, t.Unanswered, t.Left, t.Retries, t.Tries, t.Worth/max(t.Whole, 1e-9))
+}
+
 // Add adds another tally.
 func (t *Tally) Add(o Tally) {
 	t.Asked += o.Asked
--- a/internal/lab/stage/run.go
+++ b/internal/lab/stage/run.go
@@ -98,6 +98,7 @@
 		r.trace.note("broken %s", v)
 	}
 	res.Tally = r.tally()
+	r.trace.note("tally %s", res.Tally)
 	res.Hash = r.trace.end()
 	return res
 }
