--- a/internal/lab/fault/draw.go
+++ b/internal/lab/fault/draw.go
@@ -33,6 +33,7 @@
 	work     float64   // mean of a request, in seconds on a core of speed 1
 	capacity float64   // requests a second that all peers can do
 	perCell  int
+	pushed   bool // see Scale
 }
 
 func (d *drawer) stream(name string) *rand.Rand { return figure.Stream(d.s.Seed, name) }
@@ -47,7 +48,11 @@
 	}
 	g = d.stream("nodes")
 	n, first := sc.Scale.Nodes.draw(g), g.IntN(len(w.Zones))
-	if chance(g, sc.Scale.OneNode) {
+	pushed := d.stream("pushed")
+	d.pushed = chance(pushed, sc.Scale.Pushed)
+	if many := sc.Scale.Many.draw(pushed); d.pushed {
+		n = many
+	} else if chance(g, sc.Scale.OneNode) {
 		n = 1
 	}
 	for i := range n {
@@ -118,7 +123,7 @@
 	d.perCell = sc.Peer.CellSize.draw(g)
 	falls, crowds := chance(g, sc.Peer.Falls), chance(g, sc.Peer.Crowds)
 	rooms := d.stream("waiting rooms")
-	tight, room := chance(rooms, sc.Peer.Tight), sc.Peer.TightRoom.draw(rooms)
+	tight, room := chance(rooms, sc.Peer.Tight) || d.pushed, sc.Peer.TightRoom.draw(rooms)
 	for i := range n {
 		p := d.peer(i)
 		if falls {
@@ -171,7 +176,7 @@
 	sc, w := d.sc, &d.s.World
 	g := d.stream("load")
 	load, over, most := sc.Load.Usual.draw(g), sc.Load.Over.draw(g), sc.Load.MostRate.draw(g)
-	if chance(g, sc.Load.Overload) {
+	if chance(g, sc.Load.Overload) || d.pushed {
 		load = over
 	}
 	skew := sc.Load.ZoneSkew.draw(g)
--- a/internal/lab/fault/scenario.go
+++ b/internal/lab/fault/scenario.go
@@ -35,6 +35,8 @@
 	Nodes   Counts  `toml:"nodes" of:"scenario.one_or_more"`
 	OneZone float64 `toml:"one_zone" of:"scenario.chance"` // share of runs
 	OneNode float64 `toml:"one_node" of:"scenario.chance"`
+	Pushed  float64 `toml:"pushed" of:"scenario.chance"`    // share of runs in which all presses on the peers at once: many nodes, overload, no waiting rooms
+	Many    Counts  `toml:"many" of:"scenario.one_or_more"` // nodes then
 }
 
 // LoadRanges is how much they are asked to do.
