--- a/internal/lab/stage/settings.go
+++ b/internal/lab/nodefile/nodefile.go
@@ -1,4 +1,5 @@
-package stage
+// Package nodefile writes the configuration files of nodes, as the platform would.
+package nodefile
 
 import (
 	"encoding/json"
@@ -12,10 +13,16 @@
 // object is a JSON object with the platform's names.
 type object = map[string]any
 
-// nodeFile writes the configuration file of a node, as the platform would:
-// discovery is where it looks for its upstream group, known the list that it
-// had last, seed the one of this start.
-func nodeFile(c *world.Config, n world.Node, discovery string, known []byte, seed uint64) ([]byte, error) {
+// Start is what a node's file holds beside its world.
+type Start struct {
+	Listen    string // where it listens
+	Discovery string // where it looks for its upstream group
+	Known     []byte // the list that it had last, as discovery writes it
+	Seed      uint64 // of this start
+}
+
+// Write writes the configuration file of a node of a world.
+func Write(c *world.Config, n world.Node, s Start) ([]byte, error) {
 	var quotas []object
 	for _, t := range c.Tenants {
 		quotas = append(quotas, object{"name": t.Name, "share": t.Share, "quota_per_s": t.Quota})
@@ -33,10 +40,10 @@
 	slices.Sort(kinds)
 	k := c.Contract
 	file := object{
-		"name": n.Name, "listen": n.Name + ":" + nodePort, "discovery": discovery,
-		"seed":   fmt.Sprintf("%016x", seed),
+		"name": n.Name, "listen": s.Listen, "discovery": s.Discovery,
+		"seed":   fmt.Sprintf("%016x", s.Seed),
 		"limits": object{"cores": 1.0, "memory_mb": n.MemoryMB, "sockets": n.Sockets},
-		"known":  json.RawMessage(known),
+		"known":  json.RawMessage(s.Known),
 		"settings": object{
 			"n_instances": len(c.Nodes), "worth_by": "request", "over_share_worth": k.OverShareWorth,
 			"weights": "nominal", "discovery": "subscribe",
--- a/internal/lab/stage/node.go
+++ b/internal/lab/stage/node.go
@@ -12,6 +12,7 @@
 
 	"olivebridge/internal/lab/figure"
 	"olivebridge/internal/lab/loop"
+	"olivebridge/internal/lab/nodefile"
 	"olivebridge/internal/lab/world"
 	"olivebridge/internal/node"
 	"olivebridge/internal/protocol"
@@ -59,7 +60,9 @@
 	i.lives++
 	known := i.run.registry.Known(stale)
 	seed := figure.Stream(i.run.script.Seed, fmt.Sprintf("node %s %d", i.c.Name, i.lives)).Uint64()
-	file, err := nodeFile(&i.run.script.World, i.c, i.run.discovery, known, seed)
+	file, err := nodefile.Write(&i.run.script.World, i.c, nodefile.Start{
+		Listen: i.c.Name + ":" + nodePort, Discovery: i.run.discovery, Known: known, Seed: seed,
+	})
 	if err != nil {
 		i.run.fail("crash", "%v", err)
 		return
--- a/internal/lab/world/registry/book.go
+++ b/internal/lab/world/registry/book.go
@@ -118,12 +118,12 @@
 }
 
 // list is the whole list after the first n changes.
-func (b *book) list(n int) []byte {
+func (b *book) list(n int) list {
 	version := b.version
 	if n < len(b.changes) {
 		version = b.changes[max(n, 1)-1].version
 	}
-	return list{version, true, b.entries(n)}.json()
+	return list{version, true, b.entries(n)}
 }
 
 // since is what changed after a version, the last change of each peer only; ok
--- a/internal/lab/world/registry/call.go
+++ b/internal/lab/world/registry/call.go
@@ -245,6 +245,7 @@
 	if !ok || c.whole < wholeShare {
 		l = list{b.version, true, b.entries(len(b.changes))}
 	}
+	r.seen(link.Dialer(c.conn.link.ID()), l.Servers)
 	body := l.json()
 	if c.garbled < r.garbled.Chance() {
 		body = garble(c.how, l)
--- a/internal/lab/world/registry/registry.go
+++ b/internal/lab/world/registry/registry.go
@@ -84,10 +84,14 @@
 	staleChanges = 4
 )
 
-// Known is the list that a node's configuration carries. A stale one is as it
+// Known is the list that a node's configuration carries, as KnownBy has it.
+func (r *Registry) Known(stale bool) []byte { return r.KnownBy("", stale) }
+
+// KnownBy is the list that the configuration of a node on that machine carries,
+// with addresses as they are seen from there. A stale one is as it
 // was up to 12 s ago, and at least one change ago; a node that starts along
 // with the run misses the peers that were listed last.
-func (r *Registry) Known(stale bool) []byte {
+func (r *Registry) KnownBy(by string, stale bool) []byte {
 	b := r.book
 	n := len(b.changes)
 	if stale {
@@ -100,5 +104,14 @@
 		}
 		n = max(n, (b.first+1)/2) // of nobody a node could make nothing
 	}
-	return b.list(n)
+	l := b.list(n)
+	r.seen(by, l.Servers)
+	return l.json()
+}
+
+// seen puts the addresses of a list as they are seen from a machine.
+func (r *Registry) seen(by string, list []entry) {
+	for i := range list {
+		list[i].Addr = link.Seen(r.env.Fabric, by, list[i].Addr)
+	}
 }
