Start nodes with a world around them in one command: olivelab up

Nobody who finds the repository could start a node: it wants variables, a configuration and a discovery. Package live plays a script in real time, with the world's parts on loopback sockets and each node as a child process, which dies with its parent; the command prints a curl line that works as it stands, shows each second how it goes, and takes kill, slow, drain and heal. Clients now look whether an answer names their call, and a loop on the machine's clock lets no flood of posts keep its events waiting.

--- a/cmd/olivelab/main.go
+++ b/cmd/olivelab/main.go
@@ -48,7 +48,7 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
-	root.AddCommand(seedsCommand(s), replayCommand(s), shrinkCommand(s), faultsCommand(s), plantsCommand(s),
+	root.AddCommand(seedsCommand(s), replayCommand(s), shrinkCommand(s), faultsCommand(s), plantsCommand(s), upCommand(),
 		workerCommand(s))
 	err := root.ExecuteContext(ctx)
 	switch {
--- a/cmd/olivelab/main_test.go
+++ b/cmd/olivelab/main_test.go
@@ -13,10 +13,13 @@
 	"olivebridge/internal/lab/campaign/campaigntest"
 )
 
-// The test binary is its own worker, on the toy's sources.
+// The test binary is its own worker, on the toy's sources, and the program that up runs in.
 func TestMain(m *testing.M) {
-	if len(os.Args) == 2 && os.Args[1] == "worker" {
+	switch {
+	case len(os.Args) == 2 && os.Args[1] == "worker":
 		os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr, campaigntest.Sources()))
+	case len(os.Args) > 1 && os.Args[1] == "up":
+		main()
 	}
 	os.Setenv("GORACE", "atexit_sleep_ms=0") // or the race detector adds a second to each worker's end
 	os.Exit(m.Run())
--- /dev/null
+++ b/cmd/olivelab/screen.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"olivebridge/internal/lab/live"
+)
+
+// screen shows a run: on a terminal a table that stays in place above what is
+// typed, elsewhere one line a second.
+type screen struct {
+	out   io.Writer
+	table bool
+	mu    sync.Mutex
+	rows  int // of the table; 0: it is not there
+}
+
+func newScreen(out io.Writer, plain bool) *screen {
+	return &screen{out: out, table: !plain && isTerminal(out)}
+}
+
+func isTerminal(out io.Writer) bool {
+	f, ok := out.(*os.File)
+	if !ok || os.Getenv("TERM") == "dumb" || os.Getenv("TERM") == "" {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// Sequences of a terminal.
+const (
+	clearAll  = "\x1b[2J\x1b[H"
+	clearLine = "\x1b[K"
+	saved     = "\x1b7\x1b[H"
+	restored  = "\x1b8"
+)
+
+// begin writes what stays to be read, and then the first table.
+func (s *screen) begin(lines []string, t live.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table {
+		rows := tableOf(t)
+		s.rows = len(rows)
+		// what is written below the table scrolls there
+		fmt.Fprintf(s.out, "%s\x1b[%dr\x1b[%d;1H", clearAll, s.rows+1, s.rows+1)
+	}
+	fmt.Fprintln(s.out, strings.Join(lines, "\n"))
+	s.draw(t)
+}
+
+// show shows how it goes now.
+func (s *screen) show(t live.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table {
+		s.draw(t)
+		return
+	}
+	fmt.Fprintln(s.out, lineOf(t))
+}
+
+func (s *screen) draw(t live.Snapshot) {
+	if !s.table {
+		return
+	}
+	var b strings.Builder
+	b.WriteString(saved)
+	for i, row := range tableOf(t) {
+		if i < s.rows {
+			b.WriteString(row + clearLine + "\r\n")
+		}
+	}
+	b.WriteString(restored)
+	io.WriteString(s.out, b.String())
+}
+
+// say answers a command.
+func (s *screen) say(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintln(s.out, text)
+}
+
+// Write implements io.Writer, for what goes wrong.
+func (s *screen) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out.Write(b)
+}
+
+// end gives the whole terminal back.
+func (s *screen) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table {
+		io.WriteString(s.out, "\x1b7\x1b[r\x1b8\r\n")
+	}
+	s.table = false
+}
+
+// mostPeers is how many peers the table has rows for.
+const mostPeers = 12
+
+// tableOf is a run as a table.
+func tableOf(t live.Snapshot) []string {
+	rows := []string{fmt.Sprintf("%-6s %9s %7s %6s %8s %7s %7s %8s", t.At.Round(time.Second),
+		"asked/s", "served", "late", "refused", "failed", "worth", "tries/s")}
+	for _, one := range []struct {
+		name string
+		of   live.Tally
+	}{{"now", t.Now}, {"total", t.Total}} {
+		rows = append(rows, fmt.Sprintf("%-6s %9d %7d %6d %8d %7d %6.1f%% %8d", one.name, one.of.Asked, one.of.Served,
+			one.of.Late, one.of.Refused, one.of.Failed+one.of.Unanswered, 100*one.of.Share(), one.of.Tries))
+	}
+	rows = append(rows, "", "node   state     tries  clients  cpu")
+	for _, n := range t.Nodes {
+		rows = append(rows, fmt.Sprintf("%-6s %-8s %6d %8d  %.2fs",
+			n.Name, n.State, n.Tries, n.Clients, n.Used.Seconds()))
+	}
+	rows = append(rows, "", "peer   state     listed       in flight  served")
+	for i, p := range t.Peers {
+		if i == mostPeers {
+			rows = append(rows, fmt.Sprintf("and %d more", len(t.Peers)-mostPeers))
+			break
+		}
+		rows = append(rows, fmt.Sprintf("%-6s %-8s  %-11s %10d %7d  %s",
+			p.Name, p.State, p.Listed, p.InFlight, p.Served, p.Ails))
+	}
+	return append(rows, strings.Repeat("-", 72)+behind(t))
+}
+
+// lineOf is the last second in a line.
+func lineOf(t live.Snapshot) string {
+	n := t.Now
+	line := fmt.Sprintf("%4s  asked %d served %d late %d refused %d failed %d worth %.1f%% tries %d",
+		t.At.Round(time.Second), n.Asked, n.Served, n.Late, n.Refused, n.Failed+n.Unanswered, 100*n.Share(), n.Tries)
+	for _, n := range t.Nodes {
+		line += fmt.Sprintf(" | %s %s, %d clients", n.Name, n.State, n.Clients)
+	}
+	in, flying, other := 0, 0, ""
+	for _, p := range t.Peers {
+		flying += p.InFlight
+		if p.State == live.Up && p.Ails == "" {
+			in++
+			continue
+		}
+		other += ", " + p.Name + " " + p.State
+		if p.Ails != "" && p.State == live.Up {
+			other += " (" + p.Ails + ")"
+		}
+	}
+	return line + fmt.Sprintf(" | peers: %d up, %d in flight%s%s", in, flying, other, behind(t))
+}
+
+// muchBehind is from when on it is told how late the load was.
+const muchBehind = 20 * time.Millisecond
+
+// behind says that the load itself was late, if it was.
+func behind(t live.Snapshot) string {
+	if t.Behind < muchBehind {
+		return ""
+	}
+	return fmt.Sprintf(" | the load ran %v late", t.Behind.Round(time.Millisecond))
+}
+
+// total is all of a run in a line.
+func total(t live.Snapshot) string {
+	n := t.Total
+	line := fmt.Sprintf("in %v: asked %d, served %d in time, %d late, refused %d, failed %d, worth %.1f%%",
+		t.At.Round(time.Second), n.Asked, n.Served, n.Late, n.Refused, n.Failed+n.Unanswered, 100*n.Share())
+	if n.Foreign > 0 {
+		line += fmt.Sprintf("; %d answers were another call's", n.Foreign)
+	}
+	return line
+}
--- /dev/null
+++ b/cmd/olivelab/up.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"olivebridge/internal/lab/live"
+)
+
+// up is a call of the command.
+type up struct {
+	peers, nodes int
+	rate         float64
+	length       time.Duration
+	node         string
+	plain        bool
+}
+
+// endless is longer than anybody waits.
+const endless = 1000000 * time.Hour
+
+func upCommand() *cobra.Command {
+	var u up
+	c := &cobra.Command{
+		Use:   "up",
+		Short: "starts peers, discovery, nodes and a little load on loopback, in real time",
+		Long: "Starts stand-in peers, discovery, nodes and a little load on loopback, in real time, and shows once a " +
+			"second how it goes. Standard input takes commands: " + strings.Join(verbs(), ", ") + ". It ends with " +
+			"quit, Ctrl-C, the end of standard input, or after --for, which the end of standard input does not cut short.",
+		Args: cobra.NoArgs,
+	}
+	c.Flags().IntVar(&u.peers, "peers", 6, "how many peers")
+	c.Flags().IntVar(&u.nodes, "nodes", 2, "how many nodes")
+	c.Flags().Float64Var(&u.rate, "rate", 60, "requests a second, of all clients")
+	c.Flags().DurationVar(&u.length, "for", 0, "for how long; 0: until it is told to end")
+	c.Flags().StringVar(&u.node, "node", "", "the node's `program`; \"\": built from the source tree")
+	c.Flags().BoolVar(&u.plain, "plain", false, "one line a second, on a terminal too")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if err := u.check(); err != nil {
+			return err
+		}
+		err := u.run(c)
+		if c.Context().Err() != nil { // Ctrl-C is how it is ended
+			return nil
+		}
+		return err
+	}
+	return c
+}
+
+func (u *up) check() error {
+	for _, f := range []struct {
+		name     string
+		n, least int
+	}{{"peers", u.peers, 1}, {"nodes", u.nodes, 1}} {
+		if f.n < f.least || f.n > 200 {
+			return fmt.Errorf("--%s %d: not from %d to 200", f.name, f.n, f.least)
+		}
+	}
+	if !(u.rate >= 1 && u.rate <= 20000) {
+		return fmt.Errorf("--rate %g: not from 1 to 20000", u.rate)
+	}
+	if u.length < 0 {
+		return fmt.Errorf("--for %v: below 0", u.length)
+	}
+	if u.node == "" {
+		return nil
+	}
+	if err := live.Program(u.node); err != nil {
+		return fmt.Errorf("--node: %w", unreadable(err))
+	}
+	return nil
+}
+
+func (u *up) run(c *cobra.Command) error {
+	ctx, out, errs := c.Context(), c.OutOrStdout(), c.ErrOrStderr()
+	dir, err := os.MkdirTemp("", "olivelab-up-")
+	if err != nil {
+		return unreadable(err)
+	}
+	defer os.RemoveAll(dir)
+	node := u.node
+	if node == "" {
+		fmt.Fprintln(errs, "building the node")
+		node, err = live.Build(ctx, dir)
+	} else {
+		node, err = filepath.Abs(node)
+	}
+	if err != nil {
+		return err
+	}
+	s := newScreen(out, u.plain)
+	r, err := live.Start(ctx, live.Sample(u.peers, u.nodes, u.rate), live.Options{
+		Node: node, Dir: dir, Length: cmp.Or(u.length, endless), Log: s,
+	})
+	if err != nil {
+		return err
+	}
+	s.begin(welcome(r, dir), r.Table())
+	told := u.watch(ctx, r, s, c.InOrStdin())
+	s.end()
+	fmt.Fprintln(out, "ending: clients leave, the nodes drain")
+	if told {
+		r.Stop()
+	} else {
+		r.Wait() // what is open gets its answer; what went wrong has been shown
+	}
+	fmt.Fprintln(out, total(r.Table()))
+	return nil
+}
+
+// watch shows how it goes, and does what it is told, until the end; told: that
+// it was told to end.
+func (u *up) watch(ctx context.Context, r *live.Run, s *screen, in io.Reader) (told bool) {
+	commands := make(chan string)
+	go func() { // it ends with the program: a read of a terminal cannot be broken off
+		lines := bufio.NewScanner(in)
+		for lines.Scan() {
+			commands <- strings.TrimSpace(lines.Text())
+		}
+		close(commands)
+	}()
+	each := time.NewTicker(time.Second)
+	defer each.Stop()
+	for {
+		select {
+		case <-each.C:
+			t := r.Table()
+			s.show(t)
+			if u.length > 0 && t.At >= u.length {
+				return false
+			}
+		case <-r.Done():
+			return false
+		case <-ctx.Done():
+			return true
+		case command, ok := <-commands:
+			switch {
+			case !ok && u.length == 0, command == "quit", command == "exit":
+				return true
+			case !ok:
+				commands = nil
+			case command == "help":
+				s.say(live.Help + "\nquit               end")
+			case command != "":
+				did, err := r.Do(command)
+				if err != nil {
+					did = err.Error()
+				}
+				s.say(did)
+			}
+		}
+	}
+}
+
+// verbs are the commands that standard input takes.
+func verbs() []string {
+	var all []string
+	for line := range strings.SplitSeq(live.Help, "\n") {
+		verb, _, _ := strings.Cut(line, " ")
+		all = append(all, verb)
+	}
+	return append(all, "help", "quit")
+}
+
+// welcome says where everything is, and how to try it.
+func welcome(r *live.Run, dir string) []string {
+	t := r.Table()
+	lines := []string{"discovery   http://" + r.Resolve("registry:8500") + "/registry/instances"}
+	for _, n := range t.Nodes {
+		lines = append(lines, fmt.Sprintf("node %-6s http://%s  pid %d  log %s",
+			n.Name, n.Addr, n.PID, filepath.Join(dir, n.Name+".log")))
+	}
+	var peers []string
+	for _, p := range t.Peers {
+		peers = append(peers, p.Name+" "+p.Addr)
+	}
+	for len(peers) > 0 {
+		some := peers[:min(len(peers), 4)]
+		peers = peers[len(some):]
+		lines = append(lines, "peers       "+strings.Join(some, "  "))
+	}
+	return append(lines, "", fmt.Sprintf("curl -i -H 'X-Call-Id: try-1' -H 'X-Call-Class: quote' -H 'X-Caller: acme' "+
+		"-H 'X-Budget: 0.600' 'http://%s/api?user=me'", t.Nodes[0].Addr), "",
+		"commands: "+strings.Join(verbs(), ", "))
+}
--- /dev/null
+++ b/cmd/olivelab/up_test.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// started is a call of up, as a process.
+type started struct {
+	cmd  *exec.Cmd
+	in   io.WriteCloser
+	out  *bufio.Reader
+	said strings.Builder
+	pids []int
+	node string // an address
+	curl string
+}
+
+// startUp starts it and reads up to the line that tells how to try it.
+func startUp(t *testing.T, args ...string) *started {
+	t.Helper()
+	u := &started{cmd: exec.CommandContext(t.Context(), os.Args[0], append([]string{"up"}, args...)...)}
+	out, err := u.cmd.StdoutPipe()
+	if err == nil {
+		u.in, err = u.cmd.StdinPipe()
+	}
+	u.cmd.Stderr = os.Stderr
+	if err == nil {
+		err = u.cmd.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.out = bufio.NewReader(io.TeeReader(out, &u.said))
+	node := regexp.MustCompile(`^node n\d+ +http://(\S+)  pid (\d+) `)
+	for u.curl == "" {
+		line, err := u.out.ReadString('\n')
+		if err != nil {
+			t.Fatalf("%v after %s", err, u.said.String())
+		}
+		if m := node.FindStringSubmatch(line); m != nil {
+			u.node = m[1]
+			u.pids = append(u.pids, number(m[2]))
+		}
+		if strings.HasPrefix(line, "curl ") {
+			u.curl = line
+		}
+	}
+	return u
+}
+
+func number(s string) (n int) {
+	for _, c := range s {
+		n = 10*n + int(c-'0')
+	}
+	return n
+}
+
+// rest reads to the end, and returns the exit code and all that was said.
+func (u *started) rest(t *testing.T) (code int, said string) {
+	t.Helper()
+	io.Copy(io.Discard, u.out)
+	u.cmd.Wait()
+	for _, pid := range u.pids {
+		if syscall.Kill(pid, 0) == nil {
+			t.Errorf("node %d is still there", pid)
+		}
+	}
+	return u.cmd.ProcessState.ExitCode(), u.said.String()
+}
+
+// Guards the first command that anybody gives: it builds its node, its curl line works as it stands, and it ends
+// by itself with nothing left.
+func TestUp(t *testing.T) {
+	u := startUp(t, "--for", "2s", "--plain")
+	u.in.Close() // its end cuts nothing short
+	parts := regexp.MustCompile(`-H '([^:']+): ([^']+)'`).FindAllStringSubmatch(u.curl, -1)
+	url := regexp.MustCompile(`'(http://[^']+)'`).FindStringSubmatch(u.curl)
+	if len(parts) != 4 || url == nil || len(u.pids) != 2 {
+		t.Fatalf("%s with %d nodes", u.curl, len(u.pids))
+	}
+	q, err := http.NewRequest("GET", url[1], nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range parts {
+		q.Header.Set(p[1], p[2])
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(a.Body)
+	a.Body.Close()
+	if err != nil || a.StatusCode != 200 || !strings.Contains(string(body), "call=try-1 ") {
+		t.Errorf("%s gave %d %.80q: %v", u.curl, a.StatusCode, body, err)
+	}
+	code, said := u.rest(t)
+	table := regexp.MustCompile(`(?m)^ +1s  asked \d+ served \d+ .* worth [\d.]+% .*n1 up.*peers: 6 up`)
+	total := regexp.MustCompile(`\nin [23]s: asked \d\d+, served \d\d+ in time[^;\n]*\n$`)
+	if code != 0 || !table.MatchString(said) || !total.MatchString(said) {
+		t.Errorf("exit %d after %s", code, said)
+	}
+}
+
+func TestUpIsToldToEnd(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(u *started)
+		said string
+	}{
+		{"quit", func(u *started) { io.WriteString(u.in, "help\nkill p01\nkill p9\nquit\n") },
+			`(?s)heal \[NAME\].*p01 is killed\nkill: no peer or node named "p9"\nending`},
+		{"the end of its input", func(u *started) { u.in.Close() }, `ending`},
+		{"an interrupt", func(u *started) { u.cmd.Process.Signal(os.Interrupt) }, `ending`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := startUp(t, "--peers", "2", "--nodes", "1")
+			c.do(u)
+			if code, said := u.rest(t); code != 0 || !regexp.MustCompile(c.said).MatchString(said) {
+				t.Errorf("exit %d after %s", code, said)
+			}
+		})
+	}
+}
+
+// A node must not outlive whoever started it, whatever becomes of that.
+func TestUpIsKilled(t *testing.T) {
+	u := startUp(t, "--nodes", "1")
+	c, err := net.Dial("tcp", u.node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	u.cmd.Process.Kill()
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, err = c.Read(make([]byte, 1))
+	if late, ok := err.(net.Error); err == nil || ok && late.Timeout() {
+		t.Errorf("the node goes on: %v", err)
+	}
+	u.cmd.Wait()
+}
+
+func TestUpRefuses(t *testing.T) {
+	for args, want := range map[string]string{
+		"--peers 0": "--peers 0: not from 1 to 200", "--nodes 999": "--nodes 999: not from 1 to 200",
+		"--rate 0": "--rate 0: not from 1 to 20000", "--for -1s": "--for -1s: below 0",
+		"--node no/where": "--node: no/where: no such file or directory", "--node .": "--node: .: not a program",
+		"--nodes 1 --node /bin/false": "node n1 ended: exit status 1\n",
+	} {
+		code, _, errs := call(t, append([]string{"up"}, strings.Fields(args)...)...)
+		if code != exitUsage || !strings.HasPrefix(errs, "olivelab: "+want) || strings.Count(errs, "\n") != 1 {
+			t.Errorf("%s: exit %d, %s", args, code, errs)
+		}
+	}
+}
--- a/internal/lab/fact/fact.go
+++ b/internal/lab/fact/fact.go
@@ -28,3 +28,31 @@
 	NodeKilled(node string)
 	NodeTold(node, signal, discovery string)
 }
+
+// Nobody is a Witness that cares for nothing, to be embedded by those that care
+// for some facts only.
+type Nobody struct{}
+
+// PeerStarted implements Witness, as do the methods below.
+func (Nobody) PeerStarted(string, string, bool) {}
+
+// PeerStopped implements Witness.
+func (Nobody) PeerStopped(string) {}
+
+// PeerWork implements Witness.
+func (Nobody) PeerWork(string, string, float64, float64) {}
+
+// Listed implements Witness.
+func (Nobody) Listed(int64, string, string, string, time.Duration) {}
+
+// Bad implements Witness.
+func (Nobody) Bad(string, string, time.Duration) {}
+
+// NodeStarted implements Witness.
+func (Nobody) NodeStarted(string, int64) {}
+
+// NodeKilled implements Witness.
+func (Nobody) NodeKilled(string) {}
+
+// NodeTold implements Witness.
+func (Nobody) NodeTold(string, string, string) {}
--- /dev/null
+++ b/internal/lab/live/child.go
@@ -0,0 +1,102 @@
+package live
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// child is one process of a node.
+type child struct {
+	program string
+	env     []string
+	log     *os.File
+	line    func(line string) (keep bool) // hears each line of its log, on a goroutine of the process's
+	gone    chan struct{}                 // closed once nothing of it is left
+
+	// The loop's.
+	leaving bool // it was told to end
+	listens bool // it has started, and hears signals: before that they would end it
+	told    bool // its file has changed
+
+	last string        // line that it wrote; once gone
+	used time.Duration // of processor; once gone
+
+	mu      sync.Mutex
+	process *os.Process
+	early   syscall.Signal // that came before the process was there
+}
+
+// run runs the process to its end. The thread that starts it stays with it: the
+// kernel ends a child when the thread that is its parent ends.
+func (c *child) run() error {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	defer c.log.Close()
+	out := &lines{child: c}
+	cmd := exec.Command(c.program)
+	cmd.Env, cmd.Stderr, cmd.SysProcAttr, cmd.WaitDelay = c.env, out, apart(), time.Second
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.process = cmd.Process
+	if c.early != 0 {
+		c.process.Signal(c.early)
+	}
+	c.mu.Unlock()
+	err := cmd.Wait()
+	c.last = out.last
+	c.used = cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	return err
+}
+
+// signal sends the process a signal, or kills it if it has not yet begun.
+func (c *child) signal(s syscall.Signal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.process != nil:
+		c.process.Signal(s) // one that has ended needs none
+	case s == syscall.SIGKILL || s == syscall.SIGTERM:
+		c.early = syscall.SIGKILL
+	}
+}
+
+// pid is the process's number; 0: it has none yet.
+func (c *child) pid() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.process == nil {
+		return 0
+	}
+	return c.process.Pid
+}
+
+// lines writes a process's log, line by line.
+type lines struct {
+	child *child
+	part  []byte
+	last  string
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(b []byte) (int, error) {
+	l.part = append(l.part, b...)
+	for {
+		i := bytes.IndexByte(l.part, '\n')
+		if i < 0 {
+			return len(b), nil
+		}
+		line := string(l.part[:i])
+		l.part = l.part[i+1:]
+		if l.child.line(line) {
+			l.last = line
+			l.child.log.WriteString(line + "\n") // nobody could be told of an error
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/live/child_linux.go
@@ -0,0 +1,28 @@
+package live
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// apart keeps a terminal's signals from a child, and lets it die with its parent.
+func apart() *syscall.SysProcAttr {
+	return &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+}
+
+// usedBy is the processor time that a running process has used; 0 if that cannot be told.
+func usedBy(pid int) time.Duration {
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	_, text, _ := strings.Cut(string(data), ") ") // behind the name, which may hold anything
+	fields := strings.Fields(text)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * (time.Second / 100)
+}
--- /dev/null
+++ b/internal/lab/live/do.go
@@ -0,0 +1,176 @@
+package live
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// undo is one thing that Do has done, and that heal takes back.
+type undo struct {
+	name, what string
+	heal       func()
+}
+
+// How a drain that was asked for goes.
+const (
+	turnsAwayAfter = 1500 * time.Millisecond
+	exitsAfter     = 4 * time.Second
+)
+
+// Help says what Do takes.
+const Help = `kill NAME          kill a peer or a node
+slow PEER TIMES    let a peer take so many times longer
+fail PEER SHARE    let a share of a peer's calls end in a 500
+vanish PEER        let a peer's machine say nothing any more
+drain PEER         let a peer complete what it holds, and end
+restart NODE       SIGTERM, and a new process
+heal [NAME]        undo all of that, or what was done to one`
+
+// Do does something to a peer or a node, as Help has it, and says what it did.
+func (r *Run) Do(command string) (did string, err error) {
+	if !r.on(func() { did, err = r.do(strings.Fields(command)) }) {
+		return "", errOver
+	}
+	return did, err
+}
+
+func (r *Run) do(words []string) (string, error) {
+	if len(words) == 0 {
+		return "", errors.New("do what?")
+	}
+	verb, args := words[0], words[1:]
+	wants, known := map[string]int{
+		"kill": 1, "slow": 2, "fail": 2, "vanish": 1, "drain": 1, "restart": 1, "heal": 0,
+	}[verb]
+	switch {
+	case !known:
+		return "", fmt.Errorf("%s: no such command", verb)
+	case verb == "heal" && len(args) <= 1:
+		return r.heal(strings.Join(args, ""))
+	case len(args) != wants:
+		return "", fmt.Errorf("%s: takes %s", verb, [...]string{"at most a name", "a name", "a peer and a figure"}[wants])
+	}
+	n, p := r.node(args[0]), r.peer(args[0])
+	if p != nil && !p.begun {
+		p = nil
+	}
+	switch {
+	case verb == "restart" && n == nil:
+		return "", fmt.Errorf("restart: no node named %q", args[0])
+	case verb == "kill" && n == nil && p == nil:
+		return "", fmt.Errorf("kill: no peer or node named %q", args[0])
+	case verb != "kill" && verb != "restart" && p == nil:
+		return "", fmt.Errorf("%s: no peer named %q", verb, args[0])
+	case verb == "restart" || verb == "kill" && n != nil:
+		return r.doNode(verb, n)
+	}
+	return r.doPeer(verb, p, args[1:])
+}
+
+func (r *Run) doNode(verb string, n *instance) (string, error) {
+	name := n.c.Name
+	if verb == "restart" {
+		if n.Down() {
+			n.Start()
+			return name + " starts", nil
+		}
+		n.again = true
+		n.Term()
+		return name + " drains, and starts again", nil
+	}
+	n.again = false
+	n.Kill()
+	r.undo = append(r.undo, undo{name, "killed", func() { n.Start() }})
+	return name + " is killed", nil
+}
+
+func (r *Run) doPeer(verb string, p *server, figures []string) (string, error) {
+	name := p.c.Name
+	note := func(what string, heal func()) (string, error) {
+		r.undo = append(r.undo, undo{name, what, heal})
+		return name + " is " + what, nil
+	}
+	if p.Down() && verb != "vanish" {
+		return "", fmt.Errorf("%s: %s is down; heal starts it", verb, name)
+	}
+	switch verb {
+	case "kill":
+		p.Kill()
+		return note("killed", p.startAgain)
+	case "drain":
+		p.Drain(turnsAwayAfter, exitsAfter)
+		return note("draining", p.startAgain)
+	case "vanish":
+		r.net.Vanish(hostOf(p.c))
+		r.registry.Vanished(name)
+		return note("off the network", func() {
+			r.net.Return(hostOf(p.c))
+			r.registry.Returned(name)
+		})
+	}
+	v, err := strconv.ParseFloat(figures[0], 64)
+	switch {
+	case verb == "slow" && err == nil && v >= 1 && v <= 1000:
+		return note("slow x"+figures[0], p.Slow(v))
+	case verb == "slow":
+		return "", fmt.Errorf("slow: not a number of times from 1 to 1000: %q", figures[0])
+	case err == nil && v > 0 && v <= 1:
+		return note("failing "+figures[0], p.Fail(v))
+	}
+	return "", fmt.Errorf("fail: not a share above 0 and up to 1: %q", figures[0])
+}
+
+// startAgain starts a peer's process once the one before it has ended.
+func (s *server) startAgain() {
+	switch {
+	case s.Down():
+		s.Start()
+	case s.draining:
+		s.run.loop.After(100*time.Millisecond, s.startAgain)
+	}
+}
+
+// heal undoes what was done to one, or to all; then whatever is down starts
+// again, those that went down by themselves, too.
+func (r *Run) heal(name string) (string, error) {
+	if name != "" && r.node(name) == nil && r.peer(name) == nil {
+		return "", fmt.Errorf("heal: no peer or node named %q", name)
+	}
+	done := r.undo
+	r.undo = nil
+	for _, u := range done {
+		if name != "" && u.name != name {
+			r.undo = append(r.undo, u)
+			continue
+		}
+		u.heal()
+	}
+	for _, p := range r.peers {
+		if p.begun && p.Down() && (name == "" || name == p.c.Name) {
+			p.Start()
+		}
+	}
+	for _, n := range r.nodes {
+		if n.Down() && (name == "" || name == n.c.Name) {
+			n.Start()
+		}
+	}
+	if name == "" {
+		name = "all"
+	}
+	return name + " healed", nil
+}
+
+// ails is what was done to one and not undone.
+func (r *Run) ails(name string) string {
+	var all []string
+	for _, u := range r.undo {
+		if u.name == name {
+			all = append(all, u.what)
+		}
+	}
+	return strings.Join(all, ", ")
+}
--- /dev/null
+++ b/internal/lab/live/target.go
@@ -0,0 +1,99 @@
+package live
+
+import (
+	"time"
+
+	"olivebridge/internal/lab/fault"
+	"olivebridge/internal/lab/world"
+	"olivebridge/internal/lab/world/peer"
+	"olivebridge/internal/lab/world/registry"
+)
+
+// The run is what the faults of its script act on.
+var _ fault.Target = (*Run)(nil)
+
+// Peer implements fault.Target.
+func (r *Run) Peer(name string) fault.Peer { return r.peer(name) }
+
+func (r *Run) peer(name string) *server {
+	for _, p := range r.peers {
+		if p.c.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// Node implements fault.Target.
+func (r *Run) Node(name string) fault.Node { return r.node(name) }
+
+func (r *Run) node(name string) *instance {
+	for _, n := range r.nodes {
+		if n.c.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// Crowd implements fault.Target.
+func (r *Run) Crowd(name string) fault.Crowd {
+	for i, c := range r.script.World.Clients {
+		if c.Name == name {
+			return r.crowds[i]
+		}
+	}
+	return nil
+}
+
+// Discovery implements fault.Target.
+func (r *Run) Discovery() fault.Discovery { return mover{r.registry, r} }
+
+// Network implements fault.Target.
+func (r *Run) Network() fault.Network { return r.net }
+
+// Zone implements fault.Target.
+func (r *Run) Zone(host string) string { return r.zones[host] }
+
+// mover is discovery, whose place the nodes' configuration files name.
+type mover struct {
+	*registry.Registry
+	run *Run
+}
+
+// Move implements fault.Discovery.
+func (m mover) Move() string {
+	m.run.discovery = m.Registry.Move()
+	return m.run.discovery
+}
+
+// server is a peer with its machine.
+type server struct {
+	*peer.Peer
+	run      *Run
+	c        world.Peer
+	begun    bool // it has run
+	draining bool
+}
+
+// Start implements fault.Peer: the process starts, cold.
+func (s *server) Start() {
+	s.begun, s.draining = true, false
+	if err := s.Peer.Start(false); err != nil {
+		s.run.fail("%v", err)
+	}
+}
+
+// Kill implements fault.Peer: the process dies, and its connections with it.
+func (s *server) Kill() {
+	if !s.Down() {
+		s.Peer.Kill()
+		s.run.net.Kill(hostOf(s.c))
+	}
+}
+
+// Drain implements fault.Peer.
+func (s *server) Drain(turnAwayAfter, exitAfter time.Duration) {
+	s.draining = !s.Down()
+	s.Peer.Drain(turnAwayAfter, exitAfter)
+}
--- a/internal/lab/loop/loop.go
+++ b/internal/lab/loop/loop.go
@@ -19,7 +19,7 @@
 // Loop is a queue of events. All methods but Post and Now belong to the
 // goroutine of Run, or to whoever has not yet started it.
 type Loop struct {
-	settle func()
+	settle func() // nil: nobody waits
 	start  time.Time
 	queue  queue
 	taken  map[time.Duration]struct{} // instants that an event in the queue has
@@ -33,9 +33,6 @@
 // that an event has set off is at rest; nil: nobody waits for them, and the
 // order of what they post is that of their luck.
 func New(settle func()) *Loop {
-	if settle == nil {
-		settle = func() {}
-	}
 	return &Loop{settle: settle, start: time.Now(), taken: map[time.Duration]struct{}{}, news: make(chan struct{}, 1)}
 }
 
@@ -148,10 +145,13 @@
 	return false
 }
 
-// drain runs what was posted, in the order of the keys, until nothing is.
+// drain runs what was posted, in the order of the keys, until nothing is; where
+// nobody waits for goroutines, once only, since they may post without end.
 func (l *Loop) drain() {
-	for {
-		l.settle()
+	for again := true; again; again = l.settle != nil {
+		if l.settle != nil {
+			l.settle()
+		}
 		select {
 		case <-l.news:
 		default:
--- a/internal/lab/loop/loop_test.go
+++ b/internal/lab/loop/loop_test.go
@@ -115,6 +115,23 @@
 	})
 }
 
+// Guards events, on the machine's clock, against goroutines that post faster than the loop runs it.
+func TestPostsDoNotStarveEvents(t *testing.T) {
+	l := New(nil)
+	over := false
+	var again func()
+	again = func() {
+		if !over {
+			l.Post(Key{}, again)
+		}
+	}
+	l.Post(Key{}, again)
+	l.After(time.Millisecond, func() { over = true })
+	if !l.Run(t.Context(), time.Minute, func() bool { return over }) {
+		t.Error("the event did not happen")
+	}
+}
+
 // On the machine's clock the loop is the same, with nobody to wait for.
 func TestRealClock(t *testing.T) {
 	l := New(nil)
--- a/internal/lab/sockets/sockets_test.go
+++ b/internal/lab/sockets/sockets_test.go
@@ -175,7 +175,8 @@
 		if n := len(r.n.conns); n != 0 {
 			t.Errorf("%d connections are left", n)
 		}
-		if lines := strings.Join(r.tap.lines, "\n"); !strings.Contains(lines, "sent") || !strings.Contains(lines, "arrived") {
+		lines := strings.Join(r.tap.lines, "\n")
+		if !strings.Contains(lines, "sent") || !strings.Contains(lines, "arrived") {
 			t.Errorf("the tap saw %s", lines)
 		}
 	})
--- a/internal/lab/world/client/client.go
+++ b/internal/lab/world/client/client.go
@@ -44,6 +44,7 @@
 	Unanswered int
 	Left       int
 	Retries    int
+	Foreign    int     // answers with a 200 that do not name the call which they are given to
 	Tries      int     // of nodes at peers: not known here, always 0
 	Worth      float64 // served, of Asked's
 	Whole      float64 // asked
@@ -59,6 +60,7 @@
 	t.Unanswered += o.Unanswered
 	t.Left += o.Left
 	t.Retries += o.Retries
+	t.Foreign += o.Foreign
 	t.Tries += o.Tries
 	t.Worth += o.Worth
 	t.Whole += o.Whole
--- a/internal/lab/world/client/crowd_test.go
+++ b/internal/lab/world/client/crowd_test.go
@@ -368,3 +368,27 @@
 		})
 	}
 }
+
+// Guards the one look at bodies that a run in real time has: whose answer it is.
+func TestForeignAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		body func(id string) string
+		want bool
+	}{
+		{"its own", func(id string) string { return "peer=p call=" + id + " run=1 " }, false},
+		{"another's", func(id string) string { return "peer=p call=" + id + "0 run=1 " }, true},
+	} {
+		run(t, func(l *lab) {
+			for _, n := range l.nodes {
+				n.serve = func(k *nodeConn, m *http1.Message) {
+					b := c.body(get(m, "X-Call-Id"))
+					k.Write(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b))
+				}
+			}
+			if got := l.play(l.crowd(world.Clients{}, 1), time.Second); got.Served == 0 || (got.Foreign > 0) != c.want {
+				t.Errorf("%s: %+v", c.name, got)
+			}
+		})
+	}
+}
--- a/internal/lab/world/client/front.go
+++ b/internal/lab/world/client/front.go
@@ -80,6 +80,12 @@
 	return here[int(u*float64(len(here)))], true
 }
 
+// Admitted reports whether new connections go to a node.
+func (f *Front) Admitted(node string) bool {
+	s := f.station(node)
+	return s != nil && s.admitted
+}
+
 // Born tells that a node's process starts. It is admitted once it says that it
 // is ready, even where the death of the one before it was never noticed.
 func (f *Front) Born(node string) {
--- a/internal/lab/world/client/request.go
+++ b/internal/lab/world/client/request.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -150,6 +151,9 @@
 func (t *try) answered(m *http1.Message) {
 	switch m.Status {
 	case 200:
+		if !bytes.Contains(m.Body, []byte("call="+t.id+" ")) {
+			t.of.crowd.tally[t.of.class].Foreign++
+		}
 		t.over(served, 0)
 	case 429, 503:
 		text, _ := m.Get("Retry-After")
