Play experiments on the virtual clock and report on them

Need: nothing says how the node fares under a stated load and stated faults, in figures that can be asserted. Change: package sample is what a run tells; the stage tells it without adding an event; package experiment reads files, plays them by a Runner and makes figures; package report shows them as text, JSON, SVG and a page; compare sets pairs side by side.

--- /dev/null
+++ b/cmd/olivelab/compare.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"olivebridge/internal/lab/compare"
+	"olivebridge/internal/lab/experiment"
+	"olivebridge/internal/lab/report"
+)
+
+// side is one of the two that are compared.
+type side struct {
+	name string
+	e    *experiment.Experiment
+	with experiment.Runner
+}
+
+// compareCommand compares two builds, or two experiments; live plays on sockets.
+func compareCommand(live experiment.Runner) *cobra.Command {
+	on := clock{live: live}
+	var file, out string
+	var pairs uint64
+	var short bool
+	c := &cobra.Command{
+		Use:   "compare A B",
+		Short: "compares two builds, or two experiments, over several pairs of runs",
+		Long: "A and B are two experiment files (*.toml), or two builds of olivelab, which then play the file that " +
+			"--experiment names. Each pair has a seed of its own, and the order within pairs is A B, B A, and so on. For " +
+			"each figure the table has the medians, their ratio with its spread, and whether a difference is seen.",
+		Args: cobra.ExactArgs(2),
+	}
+	on.flags(c)
+	c.Flags().StringVar(&file, "experiment", "", "the experiment `file` that two builds play")
+	c.Flags().StringVar(&out, "json", "", "where the table goes as JSON")
+	c.Flags().Uint64Var(&pairs, "pairs", 6, "how many pairs")
+	c.Flags().BoolVar(&short, "short", false, "the short forms")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		if pairs == 0 {
+			return errors.New("--pairs: at least 1")
+		}
+		sides, err := on.sides(args, file)
+		if err != nil {
+			return err
+		}
+		sink, err := create(out)
+		if err != nil {
+			return err
+		}
+		defer sink.drop()
+		all, err := playPairs(c.Context(), sides, pairs, short, c.ErrOrStderr())
+		if err != nil {
+			return err
+		}
+		rows := compare.Rows(all)
+		if err := sink.write(func(w io.Writer) error { return json.NewEncoder(w).Encode(rows) }); err != nil {
+			return err
+		}
+		return compare.Write(c.OutOrStdout(), sides[0].name, sides[1].name, all, rows)
+	}
+	return c
+}
+
+// sides reads what is to be compared.
+func (k *clock) sides(args []string, file string) (sides [2]side, err error) {
+	files := 0
+	for _, a := range args {
+		if strings.HasSuffix(a, ".toml") {
+			files++
+		}
+	}
+	switch {
+	case files == 1:
+		return sides, errors.New("wanted: two experiment files, or two builds")
+	case files == 2 && file != "":
+		return sides, errors.New("--experiment: only with two builds")
+	case files == 0 && file == "":
+		return sides, errors.New("--experiment: which file are the builds to play?")
+	}
+	for i, a := range args {
+		path, build := a, ""
+		if files == 0 {
+			path, build = file, a
+		}
+		sides[i].name = a
+		if sides[i].e, err = experiment.Load(path); err != nil {
+			return sides, err
+		}
+		if sides[i].with, err = k.runner(build); err != nil {
+			return sides, err
+		}
+	}
+	return sides, nil
+}
+
+// playPairs plays all pairs, in turn A B, B A.
+func playPairs(ctx context.Context, sides [2]side, pairs uint64, short bool, errs io.Writer) ([]compare.Pair, error) {
+	var all []compare.Pair
+	for n := range pairs {
+		var got [2]*report.Report
+		for turn := range 2 {
+			i := (turn + int(n%2)) % 2
+			s := sides[i]
+			plan, err := s.e.Plan(s.e.Seed+n, short)
+			if err != nil {
+				return nil, err
+			}
+			if got[i], err = plan.Run(ctx, s.with, nil); err != nil {
+				return nil, fmt.Errorf("%s: %w", s.name, err)
+			}
+			if got[i].Verdict == report.None {
+				return nil, fmt.Errorf("%s, seed %d: no verdict: %s", s.name, plan.Script.Seed, got[i].Why)
+			}
+		}
+		all = append(all, compare.Pair{A: got[0], B: got[1]})
+		fmt.Fprintf(errs, "pair %d of %d: worth %.4f and %.4f\n", n+1, pairs, got[0].Phases[0].All.Worth, got[1].Phases[0].All.Worth)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/cmd/olivelab/run.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"olivebridge/internal/lab/experiment"
+	"olivebridge/internal/lab/report"
+)
+
+// clock is the flag that says on what experiments are played.
+type clock struct {
+	virtual bool
+	live    experiment.Runner // on sockets; nil: this build has none
+}
+
+func (k *clock) flags(c *cobra.Command) {
+	c.Flags().BoolVar(&k.virtual, "virtual", false, "play on the virtual clock: fast, and the same each time")
+}
+
+// runner is who plays with a build; "": this one.
+func (k *clock) runner(build string) (experiment.Runner, error) {
+	switch {
+	case k.virtual && build != "":
+		return experiment.Virtual{Command: []string{build, "worker"}}, nil
+	case k.virtual:
+		return experiment.Virtual{}, nil
+	case build != "":
+		return nil, errors.New("builds are compared on the virtual clock: add --virtual")
+	case k.live == nil:
+		return nil, errors.New("this build plays on the virtual clock only: add --virtual")
+	}
+	return k.live, nil
+}
+
+// runCommand plays one experiment; live plays it on sockets.
+func runCommand(live experiment.Runner) *cobra.Command {
+	on := clock{live: live}
+	var files struct{ json, html, svg string }
+	var seed uint64
+	var short bool
+	c := &cobra.Command{
+		Use:   "run FILE.toml",
+		Short: "plays an experiment and reports on it",
+		Long: "Plays an experiment: a world under a stated rate of requests, faults, and assertions. The report goes to " +
+			"standard output, the progress to standard error. Exit 1 if an assertion fails or a rule is broken, 2 if the " +
+			"file is bad, or if the load tool ran too late for a verdict.",
+		Args: cobra.ExactArgs(1),
+	}
+	on.flags(c)
+	c.Flags().StringVar(&files.json, "json", "", "where the report goes as JSON")
+	c.Flags().StringVar(&files.html, "html", "", "where it goes as one page with pictures")
+	c.Flags().StringVar(&files.svg, "svg", "", "where its picture goes")
+	c.Flags().Uint64Var(&seed, "seed", 0, "the seed; 0: the one that the file states")
+	c.Flags().BoolVar(&short, "short", false, "the short form")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		plan, err := planned(args[0], seed, short)
+		if err != nil {
+			return err
+		}
+		with, err := on.runner("")
+		if err != nil {
+			return err
+		}
+		var sinks []*sink
+		for _, path := range []string{files.json, files.html, files.svg} {
+			s, err := create(path)
+			if err != nil {
+				return err
+			}
+			defer s.drop()
+			sinks = append(sinks, s)
+		}
+		r, err := plan.Run(c.Context(), with, progress(c.ErrOrStderr()))
+		if err != nil {
+			return err
+		}
+		for i, write := range []func(io.Writer) error{r.WriteJSON, r.WriteHTML, r.WriteSVG} {
+			if err := sinks[i].write(write); err != nil {
+				return err
+			}
+		}
+		if err := r.WriteText(c.OutOrStdout()); err != nil {
+			return err
+		}
+		switch r.Verdict {
+		case report.Failed:
+			return errFailed
+		case report.None:
+			return errors.New("no verdict: " + r.Why)
+		}
+		return nil
+	}
+	return c
+}
+
+// planned reads an experiment and makes what is to be played of it.
+func planned(path string, seed uint64, short bool) (*experiment.Plan, error) {
+	e, err := experiment.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	if seed == 0 {
+		seed = e.Seed
+	}
+	return e.Plan(seed, short)
+}
+
+// progress tells how far a run has come, every two seconds of real time.
+func progress(w io.Writer) func(experiment.Progress) {
+	told := time.Now()
+	return func(p experiment.Progress) {
+		if time.Since(told) >= tellEach {
+			told = time.Now()
+			fmt.Fprintf(w, "%.0f of %.0f seconds, %d asked, worth %.3f\n", p.At, p.Length, p.Asked, p.Worth)
+		}
+	}
+}
--- a/cmd/olivelab/sources.go
+++ b/cmd/olivelab/sources.go
@@ -7,6 +7,7 @@
 	"olivebridge/internal/lab/campaign"
 	"olivebridge/internal/lab/fault"
 	"olivebridge/internal/lab/rules"
+	"olivebridge/internal/lab/sample"
 	"olivebridge/internal/lab/stage"
 )
 
@@ -17,12 +18,15 @@
 			return stage.Play(t, s, stage.Options{Trace: w, Log: log})
 		}
 	}
+	watched := func(t *testing.T, s *fault.Script, w io.Writer) stage.Result {
+		return stage.Play(t, s, stage.Options{Watch: sample.NewWriter(w)})
+	}
 	var kinds []string
 	for _, k := range fault.KindTable() {
 		kinds = append(kinds, k.Name)
 	}
 	return campaign.Sources{
-		Play: logged(nil), Logged: logged, Scenario: scenario, Parse: fault.Parse,
+		Play: logged(nil), Logged: logged, Watched: watched, Scenario: scenario, Parse: fault.Parse,
 		Write: (*fault.Script).Write, Smaller: (*fault.Script).Smaller,
 		Kinds: (*fault.Script).Kinds, Pairs: (*fault.Script).Pairs, AllKinds: kinds,
 		Rules: append(rules.Names(), campaign.RuleHang),
--- a/internal/lab/campaign/job.go
+++ b/internal/lab/campaign/job.go
@@ -20,7 +20,8 @@
 	Scenario string `json:"scenario,omitempty"` // file; "": the one that is built in
 	Script   string `json:"script,omitempty"`   // TOML; it goes before Seed and Scenario
 	Trace    bool   `json:"trace,omitempty"`
-	Log      bool   `json:"log,omitempty"` // the nodes' logs go to standard error
+	Log      bool   `json:"log,omitempty"`   // the nodes' logs go to standard error
+	Watch    bool   `json:"watch,omitempty"` // what the run tells goes where a trace would, as package sample writes it
 }
 
 // reply is what a worker says of a job.
--- a/internal/lab/campaign/pool.go
+++ b/internal/lab/campaign/pool.go
@@ -26,7 +26,7 @@
 	Cores    int           // GOMAXPROCS of a worker; 0: as the environment has it, else 1
 	Patience time.Duration // a run that takes longer is killed; 0: a minute
 	Recycle  int           // a worker is replaced after so many jobs, so that memory stays flat; 0: 200
-	Trace    io.Writer     // of the jobs that ask for one
+	Trace    io.Writer     // of the jobs that ask for one, or are watched
 	Log      io.Writer     // hears what workers write to standard error
 }
 
--- a/internal/lab/campaign/sources.go
+++ b/internal/lab/campaign/sources.go
@@ -27,6 +27,8 @@
 	// Play plays a script. Logged is the same with the nodes' logs written to log.
 	Play   Player
 	Logged func(log io.Writer) Player
+	// Watched plays a script and tells to how it goes, in the place of a trace.
+	Watched Player
 	// Scenario reads the file that seeds draw from; "" is the one that is built in.
 	Scenario func(path string) (Draw, error)
 	// Parse reads a script; its errors name the file, the line and the reason, in one line.
--- a/internal/lab/campaign/worker.go
+++ b/internal/lab/campaign/worker.go
@@ -97,13 +97,16 @@
 		return reply{ID: j.ID, Error: err.Error()}
 	}
 	var trace io.Writer
-	if j.Trace {
+	if j.Trace || j.Watch {
 		trace = os.NewFile(traceFile, "trace")
 	}
 	player := w.sources.Play
 	if j.Log {
 		player = w.sources.Logged(os.Stderr)
 	}
+	if j.Watch {
+		player = w.sources.Watched
+	}
 	var result *stage.Result
 	whole := t.Run("run", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/lab/experiment/record.go
@@ -0,0 +1,320 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"olivebridge/internal/lab/fault"
+	"olivebridge/internal/lab/report"
+	"olivebridge/internal/lab/sample"
+	"olivebridge/internal/lab/world"
+)
+
+// What histograms hold, in microseconds, and how finely.
+const (
+	leastLatency = 1
+	mostLatency  = int64(60 * time.Second / time.Microsecond)
+	digits       = 3
+)
+
+// recorder takes in what a run tells and makes its figures.
+type recorder struct {
+	plan    *Plan
+	classes map[string]int // places in the script
+	phases  []Phase        // the whole run first
+	cells   [][]*tally     // by phase and class
+	seconds []second
+	late    *hdrhistogram.Histogram // by how much requests began late
+	tardy   int                     // of them, how many by more than is allowed
+	events  []sample.Event
+	reads   []sample.Reading
+}
+
+// tally counts requests of one class in one phase.
+type tally struct {
+	report.Counts
+	earned, whole float64 // worth
+	times         *hdrhistogram.Histogram
+}
+
+// second is what became of the requests that were due in one second.
+type second struct {
+	report.Counts
+	earned, whole float64
+	times         []time.Duration
+}
+
+func newRecorder(p *Plan) *recorder {
+	r := &recorder{
+		plan: p, classes: map[string]int{}, late: newHistogram(),
+		phases: append([]Phase{{Name: Whole, For: p.Script.Length}}, p.Phases...),
+	}
+	for i, c := range p.Script.World.Classes {
+		r.classes[c.Name] = i
+	}
+	for range r.phases {
+		var row []*tally
+		for range p.Script.World.Classes {
+			row = append(row, &tally{times: newHistogram()})
+		}
+		r.cells = append(r.cells, row)
+	}
+	r.seconds = make([]second, int((p.Script.Length.D()+time.Second-1)/time.Second))
+	return r
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(leastLatency, mostLatency, digits)
+}
+
+// record keeps a time; one beyond the histogram's end is kept as its end.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	h.RecordValue(min(max(d.Microseconds(), leastLatency), mostLatency)) // within: no error
+}
+
+// Request implements sample.Sink.
+func (r *recorder) Request(q sample.Request) {
+	place, ok := r.classes[q.Class]
+	if !ok || q.Due < 0 || q.Due >= r.plan.Script.Length.D() {
+		return
+	}
+	class := &r.plan.Script.World.Classes[place]
+	lag := max(q.Begun-q.Due, 0)
+	record(r.late, lag)
+	if lag > report.LateBy {
+		r.tardy++
+	}
+	for i, p := range r.phases {
+		if q.Due >= p.From.D() && q.Due < (p.From+p.For).D() {
+			t := r.cells[i][place]
+			t.earned += t.Counts.Add(q, class)
+			t.whole += wanted(q, class)
+			if waited(q) {
+				record(t.times, q.Ended-q.Due)
+			}
+		}
+	}
+	s := &r.seconds[q.Due/time.Second]
+	s.earned += s.Counts.Add(q, class)
+	s.whole += wanted(q, class)
+	if waited(q) {
+		s.times = append(s.times, q.Ended-q.Due)
+	}
+}
+
+// wanted is the worth that a request asked for: none, if its client left.
+func wanted(q sample.Request, class *world.Class) float64 {
+	if q.Outcome == sample.Left {
+		return 0
+	}
+	return class.Worth
+}
+
+// waited reports whether a request's time counts. Of one that was refused, or
+// failed, no time says anything; one that was never answered took its client's
+// whole patience.
+func waited(q sample.Request) bool {
+	return q.Outcome == sample.Served || q.Outcome == sample.Unanswered
+}
+
+// Reading implements sample.Sink.
+func (r *recorder) Reading(one sample.Reading) { r.reads = append(r.reads, one) }
+
+// Event implements sample.Sink.
+func (r *recorder) Event(e sample.Event) { r.events = append(r.events, e) }
+
+// progress is how far the run has come.
+func (r *recorder) progress(at float64) Progress {
+	p := Progress{At: at, Length: r.plan.Script.Length.D().Seconds()}
+	earned, whole := 0.0, 0.0
+	for _, t := range r.cells[0] {
+		p.Asked += t.Asked
+		earned += t.earned
+		whole += t.whole
+	}
+	p.Worth = share(earned, whole)
+	return p
+}
+
+// share is a part of a whole; of nothing, all of it.
+func share(part, of float64) float64 {
+	if of <= 0 {
+		return 1
+	}
+	return part / of
+}
+
+// report makes up the figures; whether they are good enough is not said here.
+func (r *recorder) report() *report.Report {
+	e, s := r.plan.Experiment, r.plan.Script
+	out := &report.Report{
+		Form: report.Form, Name: e.Name, Shows: e.Shows, Seed: s.Seed, Short: r.plan.Short,
+		Length: s.Length.D().Seconds(), Faults: bands(s),
+	}
+	for _, c := range s.World.Classes {
+		out.Classes = append(out.Classes, c.Name)
+	}
+	out.Lateness = report.Lateness{
+		P99: float64(r.late.ValueAtQuantile(99)) / 1e3, Max: float64(r.late.Max()) / 1e3,
+		Share: share(float64(r.tardy), float64(r.late.TotalCount())),
+	}
+	if r.late.TotalCount() == 0 {
+		out.Lateness = report.Lateness{}
+	}
+	for i, p := range r.phases {
+		out.Phases = append(out.Phases, r.phase(p, r.cells[i]))
+	}
+	r.series(out)
+	for _, e := range r.events {
+		out.Events = append(out.Events, report.Event{At: e.At.Seconds(), Who: e.Who, What: e.What})
+	}
+	return out
+}
+
+// phase makes up one phase's figures.
+func (r *recorder) phase(p Phase, row []*tally) report.Phase {
+	out := report.Phase{Name: p.Name, From: p.From.D().Seconds(), To: (p.From + p.For).D().Seconds()}
+	all := &tally{times: newHistogram()}
+	for i, t := range row {
+		all.Counts.Merge(t.Counts)
+		all.earned += t.earned
+		all.whole += t.whole
+		all.times.Merge(t.times)
+		f := t.figures()
+		f.Class = r.plan.Script.World.Classes[i].Name
+		out.Classes = append(out.Classes, f)
+	}
+	out.All = all.figures()
+	from, to := r.nearest(p.From.D()), r.nearest((p.From + p.For).D())
+	if asked := float64(all.Asked); asked > 0 && from != nil && to != nil {
+		tries := float64(arrived(to)-arrived(from)) / asked
+		out.All.Tries = &tries
+		if len(to.Nodes) > 0 {
+			cpu := milliseconds(spent(to)-spent(from)) / asked
+			out.All.CPU = &cpu
+		}
+	}
+	return out
+}
+
+func (t *tally) figures() report.Figures {
+	f := report.Figures{Counts: t.Counts, Worth: share(t.earned, t.whole)}
+	if t.times.TotalCount() > 0 {
+		at := func(q float64) float64 { return float64(t.times.ValueAtQuantile(q)) / 1e3 }
+		f.P50, f.P90, f.P99, f.P999 = at(50), at(90), at(99), at(99.9)
+		f.Max = float64(t.times.Max()) / 1e3
+	}
+	return f
+}
+
+// nearest is the first reading at or after an instant, or the last there is.
+func (r *recorder) nearest(at time.Duration) *sample.Reading {
+	if len(r.reads) == 0 {
+		return nil
+	}
+	i, _ := slices.BinarySearchFunc(r.reads, at, func(one sample.Reading, at time.Duration) int { return int(one.At - at) })
+	return &r.reads[min(i, len(r.reads)-1)]
+}
+
+func arrived(r *sample.Reading) (n int) {
+	for _, p := range r.Peers {
+		n += p.Arrived
+	}
+	return n
+}
+
+func spent(r *sample.Reading) (d time.Duration) {
+	for _, n := range r.Nodes {
+		d += n.CPU
+	}
+	return d
+}
+
+// series makes up what is shown along the time axis.
+func (r *recorder) series(out *report.Report) {
+	for i := range r.seconds {
+		s := &r.seconds[i]
+		at := time.Duration(i) * time.Second
+		one := report.Second{At: at.Seconds(), Counts: s.Counts, Worth: share(s.earned, s.whole)}
+		if len(s.times) > 0 {
+			slices.Sort(s.times)
+			one.P50, one.P99 = milliseconds(rank(s.times, 0.5)), milliseconds(rank(s.times, 0.99))
+		}
+		from, to := r.nearest(at), r.nearest(at+time.Second)
+		if from != nil {
+			one.Tries = arrived(to) - arrived(from)
+			one.CPU = milliseconds(spent(to) - spent(from))
+		}
+		out.Seconds = append(out.Seconds, one)
+	}
+	for i, p := range r.plan.Script.World.Peers {
+		out.Peers = append(out.Peers, report.Peer{Name: p.Name, Zone: p.Zone, Cores: p.Cores, Held: r.held(i)})
+	}
+}
+
+// rank is the value below which a share of sorted ones lies.
+func rank(sorted []time.Duration, q float64) time.Duration {
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+// held is how much a peer held in each second, in the mean; report.Down where
+// it did not run at all.
+func (r *recorder) held(place int) []float64 {
+	sums, counts, ups := make([]float64, len(r.seconds)), make([]int, len(r.seconds)), make([]int, len(r.seconds))
+	for _, one := range r.reads {
+		i := int(one.At / time.Second)
+		if i >= len(r.seconds) || place >= len(one.Peers) {
+			continue
+		}
+		p := one.Peers[place]
+		counts[i]++
+		if !p.Down {
+			ups[i]++
+			sums[i] += float64(p.Held)
+		}
+	}
+	for i := range sums {
+		switch {
+		case counts[i] == 0:
+			sums[i] = report.Unknown
+		case ups[i] == 0:
+			sums[i] = report.Down
+		default:
+			sums[i] /= float64(ups[i])
+		}
+	}
+	return sums
+}
+
+// bands are the script's faults as the report shows them.
+func bands(s *fault.Script) (all []report.Band) {
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		all = append(all, report.Band{Kind: f.Kind, From: f.At.D().Seconds(), To: f.Ends().D().Seconds(), Note: about(f)})
+	}
+	kinds, from, to := 0, time.Duration(0), time.Duration(0)
+	for i, g := range s.World.Rogues {
+		kinds++
+		if i == 0 || g.From.D() < from {
+			from = g.From.D()
+		}
+		to = max(to, (g.From + g.For).D())
+	}
+	if kinds > 0 {
+		all = append(all, report.Band{
+			Kind: fault.Rogues, From: from.Seconds(), To: to.Seconds(), Note: count(kinds, "kind", "kinds"),
+		})
+	}
+	slices.SortStableFunc(all, func(a, b report.Band) int {
+		switch {
+		case a.From < b.From:
+			return -1
+		case a.From > b.From:
+			return 1
+		}
+		return 0
+	})
+	return all
+}
--- a/internal/lab/fault/decode.go
+++ b/internal/lab/fault/decode.go
@@ -24,6 +24,10 @@
 // fromFile is a type with a form of its own.
 type fromFile interface{ from(*item) error }
 
+// Scalar is a type of another package that is written as a single value, of one
+// kind or another: it is given a string, a float64, an int64 or a bool.
+type Scalar interface{ FromFile(v any) error }
+
 type decoder struct{ bad problems }
 
 func (d *decoder) value(key string, i *item, v reflect.Value) {
@@ -33,6 +37,16 @@
 		}
 		return
 	}
+	if s, ok := v.Addr().Interface().(Scalar); ok {
+		plain, err := bare(i)
+		if err == nil {
+			err = s.FromFile(plain)
+		}
+		if err != nil {
+			d.bad.add(key, "%s", err)
+		}
+		return
+	}
 	switch v.Kind() {
 	case reflect.Struct:
 		d.table(key, i, v)
@@ -61,9 +75,11 @@
 		d.bad.add(key, "%s", want("a table", i))
 		return
 	}
-	fields := map[string]int{}
-	for n := range v.NumField() {
-		fields[name(v.Type().Field(n))] = n
+	fields := map[string][]int{}
+	for _, f := range reflect.VisibleFields(v.Type()) {
+		if !f.Anonymous { // what an embedded struct holds stands beside the others
+			fields[name(f)] = f.Index
+		}
 	}
 	for _, k := range i.keys {
 		n, ok := fields[k]
@@ -71,7 +87,7 @@
 			d.bad.add(join(key, k), "unknown key")
 			continue
 		}
-		d.value(join(key, k), i.child(k), v.Field(n))
+		d.value(join(key, k), i.child(k), v.FieldByIndex(n))
 	}
 }
 
@@ -127,6 +143,21 @@
 	return nil
 }
 
+// bare is a single value as a Scalar is given it.
+func bare(i *item) (any, error) {
+	switch i.kind {
+	case unstable.String:
+		return i.text, nil
+	case unstable.Float:
+		return float(i)
+	case unstable.Integer:
+		return whole(i)
+	case unstable.Bool:
+		return i.text == "true", nil
+	}
+	return nil, want("a single value", i)
+}
+
 func span(i *item) (s figure.Span, err error) {
 	if i.kind != unstable.String {
 		return 0, want(`a length of time such as "1.5s"`, i)
--- a/internal/lab/fault/kinds.go
+++ b/internal/lab/fault/kinds.go
@@ -132,5 +132,8 @@
 	return f.For
 }
 
+// Ends is when it has done what it does: at its own instant, where that takes no time.
+func (f *Fault) Ends() figure.Span { return f.At + f.busy() }
+
 // until is the end of the time for which it counts as there.
 func (f *Fault) until() figure.Span { return f.At + max(f.busy(), linger) }
--- /dev/null
+++ b/internal/lab/report/page.go
@@ -0,0 +1,29 @@
+package report
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+)
+
+//go:embed page.html
+var page string
+
+// WriteHTML writes one page that needs nothing beside it.
+func (r *Report) WriteHTML(w io.Writer) error {
+	t, err := template.New("report").Parse(page)
+	if err != nil {
+		return fmt.Errorf("reading the page's form: %w", err)
+	}
+	data := struct {
+		*Report
+		Picture    template.HTML
+		Figures    table
+		Assertions table
+	}{r, template.HTML(r.SVG()), r.figureTable(), r.checkTable()} //nolint:gosec // the SVG escapes its texts
+	if err := t.Execute(w, data); err != nil {
+		return fmt.Errorf("writing the page: %w", err)
+	}
+	return nil
+}
--- a/internal/lab/stage/build.go
+++ b/internal/lab/stage/build.go
@@ -22,6 +22,10 @@
 		Now: r.loop.Now, Slack: slack,
 	})
 	r.facts = facts{r.trace, r.judge}
+	if r.options.Watch != nil {
+		r.watch = &watch{run: r, to: r.options.Watch}
+		r.facts = facts{r.trace, r.judge, r.watch}
+	}
 	r.net = network.New(r.loop, s.Seed, c.Net, taps{r.trace, r.judge})
 	r.place()
 
@@ -49,6 +53,9 @@
 		Loop: r.loop, Fabric: r.net, Seed: s.Seed, Facts: r.facts, Classes: c.Classes, Tenants: c.Tenants,
 		Front: r.front, Contract: c.Contract,
 	}
+	if r.watch != nil {
+		env.Ended = r.watch.to.Request
+	}
 	for _, one := range c.Clients {
 		r.crowds = append(r.crowds, client.New(one, env))
 	}
--- a/internal/lab/stage/run.go
+++ b/internal/lab/stage/run.go
@@ -18,6 +18,7 @@
 	"olivebridge/internal/lab/loop"
 	"olivebridge/internal/lab/network"
 	"olivebridge/internal/lab/rules"
+	"olivebridge/internal/lab/sample"
 	"olivebridge/internal/lab/world/client"
 	"olivebridge/internal/lab/world/peer"
 	"olivebridge/internal/lab/world/registry"
@@ -30,8 +31,9 @@
 
 // Options say what a run shows.
 type Options struct {
-	Trace io.Writer // gets one line for each event; nil: nobody reads them
-	Log   io.Writer // gets the nodes' logs
+	Trace io.Writer   // gets one line for each event; nil: nobody reads them
+	Log   io.Writer   // gets the nodes' logs
+	Watch sample.Sink // hears how the run goes until the clients have their outcomes; nil: nobody does
 }
 
 const (
@@ -67,6 +69,7 @@
 	nodes     []*instance
 	faults    []rules.Violation // what the stage itself finds
 	over      chan struct{}     // closed at the end
+	watch     *watch            // nil: nobody watches
 }
 
 // Play plays a script. It must be called inside a bubble of testing/synctest,
@@ -127,6 +130,7 @@
 	for _, c := range r.crowds {
 		c.Stop()
 	}
+	r.watch.end()
 	for _, g := range r.rogues {
 		g.Stop()
 	}
@@ -154,6 +158,7 @@
 // step follows each event: the judge looks for what is overdue.
 func (r *run) step() bool {
 	r.judge.Tick(r.loop.Now())
+	r.watch.step()
 	return false
 }
 
--- a/internal/lab/world/client/client.go
+++ b/internal/lab/world/client/client.go
@@ -9,6 +9,7 @@
 	"olivebridge/internal/lab/fact"
 	"olivebridge/internal/lab/link"
 	"olivebridge/internal/lab/loop"
+	"olivebridge/internal/lab/sample"
 	"olivebridge/internal/lab/world"
 )
 
@@ -22,6 +23,7 @@
 	Tenants  []world.Tenant // rogues speak for them
 	Front    *Front
 	Contract world.Contract
+	Ended    func(sample.Request) // hears what came of each request of a crowd; nil: nobody does
 }
 
 // port is where nodes listen.
--- a/internal/lab/world/client/crowd.go
+++ b/internal/lab/world/client/crowd.go
@@ -99,7 +99,7 @@
 		c.arrive[place] = c.env.Loop.At(at, func() {
 			if accepted && on() {
 				n++
-				c.arrives(fmt.Sprintf("%s call %d", name, n))
+				c.arrives(fmt.Sprintf("%s call %d", name, n), at)
 			}
 			next()
 		})
@@ -115,10 +115,11 @@
 	return 1 + c.conf.Swing*math.Sin(2*math.Pi*at.Seconds()/c.conf.Period.D().Seconds())
 }
 
-// arrives begins a request. All that it draws is by its own name.
-func (c *Crowd) arrives(name string) {
+// arrives begins a request that was due at an instant. All that it draws is by
+// its own name.
+func (c *Crowd) arrives(name string, due time.Duration) {
 	draws := figure.Stream(c.env.Seed, name)
-	r := &request{crowd: c, name: name, began: -1, draws: draws}
+	r := &request{crowd: c, name: name, due: due, begun: c.env.Loop.Now(), began: -1, draws: draws}
 	stays, class, key := draws.Float64(), draws.Float64(), draws.Float64()
 	if stays < c.thinner.Chance() {
 		return
--- a/internal/lab/world/client/request.go
+++ b/internal/lab/world/client/request.go
@@ -9,6 +9,7 @@
 	"olivebridge/internal/lab/figure"
 	"olivebridge/internal/lab/http1"
 	"olivebridge/internal/lab/loop"
+	"olivebridge/internal/lab/sample"
 	"olivebridge/internal/lab/world"
 )
 
@@ -30,6 +31,8 @@
 	class int
 	name  string
 	key   string
+	due   time.Duration // when it was to arrive
+	begun time.Duration // when it did
 	began time.Duration // the first try's last byte was sent; or it ended unsent; -1: neither
 	tries int
 	draws *rand.Rand // what concerns all tries
@@ -219,6 +222,7 @@
 func (r *request) finish(o outcome) {
 	c := r.crowd
 	c.live--
+	r.tell(o)
 	t := &c.tally[r.class]
 	switch o {
 	case served:
@@ -238,3 +242,32 @@
 		t.Failed++
 	}
 }
+
+// tell says what came of the request to whoever listens.
+func (r *request) tell(o outcome) {
+	c := r.crowd
+	if c.env.Ended == nil {
+		return
+	}
+	c.env.Ended(sample.Request{
+		Class: r.spec().Name, Tenant: c.conf.Tenant, Due: r.due, Begun: r.begun, Ended: c.env.Loop.Now(),
+		Outcome: o.name(), Tries: r.tries,
+	})
+}
+
+// name is the outcome's name outside of this package.
+func (o outcome) name() sample.Outcome {
+	switch o {
+	case served:
+		return sample.Served
+	case refused:
+		return sample.Refused
+	case unreached:
+		return sample.Unreached
+	case unanswered:
+		return sample.Unanswered
+	case left:
+		return sample.Left
+	}
+	return sample.Failed
+}
