--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -66,8 +66,8 @@
 			r := Row{What: k.Name, Phase: p.Name, Unit: k.Unit}
 			var a, b []float64
 			for _, one := range pairs {
-				x, ok := one.A.Figure(k.Name, p.Name, "")
-				y, too := one.B.Figure(k.Name, p.Name, "")
+				x, ok := one.A.Figure(k.Name, p.Name, report.Part{})
+				y, too := one.B.Figure(k.Name, p.Name, report.Part{})
 				if ok && too {
 					a, b = append(a, x), append(b, y)
 				}
--- a/internal/lab/experiment/assert.go
+++ b/internal/lab/experiment/assert.go
@@ -15,12 +15,13 @@
 
 // Assert is a bound on one figure.
 type Assert struct {
-	What  string `toml:"what"`
-	Class string `toml:"class"` // empty: all of them
-	Phase string `toml:"phase"` // empty: the whole run
-	Least Bound  `toml:"least"`
-	Most  Bound  `toml:"most"`
-	Full  bool   `toml:"full"` // it is judged in the full form only
+	What   string `toml:"what"`
+	Class  string `toml:"class"`  // or:
+	Tenant string `toml:"tenant"` // both empty: all requests
+	Phase  string `toml:"phase"`  // empty: the whole run
+	Least  Bound  `toml:"least"`
+	Most   Bound  `toml:"most"`
+	Full   bool   `toml:"full"` // it is judged in the full form only
 }
 
 // Bound is a number, or a length of time, written as such.
@@ -62,11 +63,16 @@
 		if !ok {
 			return d.Error(at("what"), "no such figure: %q", a.What)
 		}
-		if a.Class != "" && !slices.Contains(e.classes(), a.Class) {
+		classes, tenants := e.parts()
+		switch {
+		case a.Class != "" && a.Tenant != "":
+			return d.Error(at("tenant"), "either a class or a tenant")
+		case a.Class != "" && !slices.Contains(classes, a.Class):
 			return d.Error(at("class"), "no such class: %q", a.Class)
-		}
-		if a.Class != "" && !f.OfClass {
-			return d.Error(at("class"), "%s is known of all classes together only", a.What)
+		case a.Tenant != "" && !slices.Contains(tenants, a.Tenant):
+			return d.Error(at("tenant"), "no such tenant: %q", a.Tenant)
+		case a.Class+a.Tenant != "" && !f.OfPart:
+			return d.Error(at("what"), "%s is known of all requests together only", a.What)
 		}
 		if a.Phase == "" {
 			a.Phase = Whole
@@ -78,13 +84,16 @@
 		if !a.Least.set && !a.Most.set {
 			return d.Error(fmt.Sprintf("assert[%d]", i), "neither least nor most")
 		}
-		for key, b := range map[string]Bound{"least": a.Least, "most": a.Most} {
+		for _, b := range []struct {
+			key string
+			Bound
+		}{{"least", a.Least}, {"most", a.Most}} {
 			if b.set && b.time != f.Time {
 				want := "a number"
 				if f.Time {
 					want = `a length of time such as "200ms"`
 				}
-				return d.Error(at(key), "%s wants %s", a.What, want)
+				return d.Error(at(b.key), "%s wants %s", a.What, want)
 			}
 		}
 		if a.Least.set && a.Most.set && a.Least.value > a.Most.value {
@@ -94,25 +103,32 @@
 	return nil
 }
 
-func (e *Experiment) classes() (all []string) {
+// parts are the names of the classes and the tenants that there will be.
+func (e *Experiment) parts() (classes, tenants []string) {
 	if e.inline {
 		for _, c := range e.Script.World.Classes {
-			all = append(all, c.Name)
+			classes = append(classes, c.Name)
 		}
-		return all
+		for _, t := range e.Script.World.Tenants {
+			tenants = append(tenants, t.Name)
+		}
+		return classes, tenants
 	}
 	for _, c := range e.scenario.Classes {
-		all = append(all, c.Name)
+		classes = append(classes, c.Name)
+	}
+	for _, t := range e.scenario.Tenants {
+		tenants = append(tenants, t.Name)
 	}
-	return all
+	return classes, tenants
 }
 
 // judge holds the assertions against a report's figures.
 func (e *Experiment) judge(r *report.Report) {
 	for _, a := range e.Asserts {
 		f, _ := report.FigureNamed(a.What)
-		c := report.Check{What: a.What, Class: a.Class, Phase: a.Phase, Unit: f.Unit}
-		value, measured := r.Figure(a.What, a.Phase, a.Class)
+		c := report.Check{What: a.What, Class: a.Class, Tenant: a.Tenant, Phase: a.Phase, Unit: f.Unit}
+		value, measured := r.Figure(a.What, a.Phase, report.Part{Class: a.Class, Tenant: a.Tenant})
 		c.Value, c.Verdict = value, report.Passed
 		if a.Least.set {
 			c.Least = &a.Least.value
--- a/internal/lab/experiment/record.go
+++ b/internal/lab/experiment/record.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -23,8 +25,9 @@
 type recorder struct {
 	plan    *Plan
 	classes map[string]int // places in the script
-	phases  []Phase        // the whole run first
-	cells   [][]*tally     // by phase and class
+	tenants map[string]int
+	phases  []Phase // the whole run first
+	cells   []cells // of each
 	seconds []second
 	late    *hdrhistogram.Histogram // by how much requests began late
 	tardy   int                     // of them, how many by more than is allowed
@@ -32,7 +35,10 @@
 	reads   []sample.Reading
 }
 
-// tally counts requests of one class in one phase.
+// cells count the requests of one phase, by class and by tenant.
+type cells struct{ classes, tenants []*tally }
+
+// tally counts requests.
 type tally struct {
 	report.Counts
 	earned, whole float64 // worth
@@ -48,23 +54,30 @@
 
 func newRecorder(p *Plan) *recorder {
 	r := &recorder{
-		plan: p, classes: map[string]int{}, late: newHistogram(),
+		plan: p, classes: map[string]int{}, tenants: map[string]int{}, late: newHistogram(),
 		phases: append([]Phase{{Name: Whole, For: p.Script.Length}}, p.Phases...),
 	}
 	for i, c := range p.Script.World.Classes {
 		r.classes[c.Name] = i
 	}
+	for i, t := range p.Script.World.Tenants {
+		r.tenants[t.Name] = i
+	}
 	for range r.phases {
-		var row []*tally
-		for range p.Script.World.Classes {
-			row = append(row, &tally{times: newHistogram()})
-		}
-		r.cells = append(r.cells, row)
+		r.cells = append(r.cells, cells{tallies(len(r.classes)), tallies(len(r.tenants))})
 	}
 	r.seconds = make([]second, int((p.Script.Length.D()+time.Second-1)/time.Second))
 	return r
 }
 
+func tallies(n int) []*tally {
+	all := make([]*tally, n)
+	for i := range all {
+		all[i] = &tally{times: newHistogram()}
+	}
+	return all
+}
+
 func newHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(leastLatency, mostLatency, digits)
 }
@@ -77,7 +90,8 @@
 // Request implements sample.Sink.
 func (r *recorder) Request(q sample.Request) {
 	place, ok := r.classes[q.Class]
-	if !ok || q.Due < 0 || q.Due >= r.plan.Script.Length.D() {
+	owner, owned := r.tenants[q.Tenant]
+	if !ok || !owned || q.Due < 0 || q.Due >= r.plan.Script.Length.D() {
 		return
 	}
 	class := &r.plan.Script.World.Classes[place]
@@ -88,12 +102,8 @@
 	}
 	for i, p := range r.phases {
 		if q.Due >= p.From.D() && q.Due < (p.From+p.For).D() {
-			t := r.cells[i][place]
-			t.earned += t.Counts.Add(q, class)
-			t.whole += wanted(q, class)
-			if waited(q) {
-				record(t.times, q.Ended-q.Due)
-			}
+			r.cells[i].classes[place].add(q, class)
+			r.cells[i].tenants[owner].add(q, class)
 		}
 	}
 	s := &r.seconds[q.Due/time.Second]
@@ -104,6 +114,14 @@
 	}
 }
 
+func (t *tally) add(q sample.Request, class *world.Class) {
+	t.earned += t.Counts.Add(q, class)
+	t.whole += wanted(q, class)
+	if waited(q) {
+		record(t.times, q.Ended-q.Due)
+	}
+}
+
 // wanted is the worth that a request asked for: none, if its client left.
 func wanted(q sample.Request, class *world.Class) float64 {
 	if q.Outcome == sample.Left {
@@ -129,7 +147,7 @@
 func (r *recorder) progress(at float64) Progress {
 	p := Progress{At: at, Length: r.plan.Script.Length.D().Seconds()}
 	earned, whole := 0.0, 0.0
-	for _, t := range r.cells[0] {
+	for _, t := range r.cells[0].classes {
 		p.Asked += t.Asked
 		earned += t.earned
 		whole += t.whole
@@ -174,10 +192,10 @@
 }
 
 // phase makes up one phase's figures.
-func (r *recorder) phase(p Phase, row []*tally) report.Phase {
+func (r *recorder) phase(p Phase, row cells) report.Phase {
 	out := report.Phase{Name: p.Name, From: p.From.D().Seconds(), To: (p.From + p.For).D().Seconds()}
 	all := &tally{times: newHistogram()}
-	for i, t := range row {
+	for i, t := range row.classes {
 		all.Counts.Merge(t.Counts)
 		all.earned += t.earned
 		all.whole += t.whole
@@ -186,13 +204,18 @@
 		f.Class = r.plan.Script.World.Classes[i].Name
 		out.Classes = append(out.Classes, f)
 	}
+	for i, t := range row.tenants {
+		f := t.figures()
+		f.Tenant = r.plan.Script.World.Tenants[i].Name
+		out.Tenants = append(out.Tenants, f)
+	}
 	out.All = all.figures()
-	from, to := r.nearest(p.From.D()), r.nearest((p.From + p.For).D())
-	if asked := float64(all.Asked); asked > 0 && from != nil && to != nil {
-		tries := float64(arrived(to)-arrived(from)) / asked
+	if asked := float64(all.Asked); asked > 0 && len(r.reads) > 0 {
+		from, to := p.From.D(), (p.From + p.For).D()
+		tries := (r.at(to, arrived) - r.at(from, arrived)) / asked
 		out.All.Tries = &tries
-		if len(to.Nodes) > 0 {
-			cpu := milliseconds(spent(to)-spent(from)) / asked
+		if len(r.reads[len(r.reads)-1].Nodes) > 0 {
+			cpu := (r.at(to, spent) - r.at(from, spent)) / asked
 			out.All.CPU = &cpu
 		}
 	}
@@ -209,27 +232,34 @@
 	return f
 }
 
-// nearest is the first reading at or after an instant, or the last there is.
-func (r *recorder) nearest(at time.Duration) *sample.Reading {
-	if len(r.reads) == 0 {
-		return nil
+// at is a sum that grows, at an instant between readings.
+func (r *recorder) at(t time.Duration, sum func(*sample.Reading) float64) float64 {
+	i, _ := slices.BinarySearchFunc(r.reads, t, func(one sample.Reading, t time.Duration) int { return cmp.Compare(one.At, t) })
+	switch i {
+	case 0:
+		return 0
+	case len(r.reads):
+		return sum(&r.reads[i-1])
 	}
-	i, _ := slices.BinarySearchFunc(r.reads, at, func(one sample.Reading, at time.Duration) int { return int(one.At - at) })
-	return &r.reads[min(i, len(r.reads)-1)]
+	a, b := &r.reads[i-1], &r.reads[i]
+	part := float64(t-a.At) / float64(b.At-a.At)
+	return sum(a) + part*(sum(b)-sum(a))
 }
 
-func arrived(r *sample.Reading) (n int) {
+// arrived is how many tries have come to peers.
+func arrived(r *sample.Reading) (n float64) {
 	for _, p := range r.Peers {
-		n += p.Arrived
+		n += float64(p.Arrived)
 	}
 	return n
 }
 
-func spent(r *sample.Reading) (d time.Duration) {
+// spent is the processor time of the nodes, in milliseconds.
+func spent(r *sample.Reading) (ms float64) {
 	for _, n := range r.Nodes {
-		d += n.CPU
+		ms += milliseconds(n.CPU)
 	}
-	return d
+	return ms
 }
 
 // series makes up what is shown along the time axis.
@@ -242,11 +272,8 @@
 			slices.Sort(s.times)
 			one.P50, one.P99 = milliseconds(rank(s.times, 0.5)), milliseconds(rank(s.times, 0.99))
 		}
-		from, to := r.nearest(at), r.nearest(at+time.Second)
-		if from != nil {
-			one.Tries = arrived(to) - arrived(from)
-			one.CPU = milliseconds(spent(to) - spent(from))
-		}
+		one.Tries = int(math.Round(r.at(at+time.Second, arrived) - r.at(at, arrived)))
+		one.CPU = r.at(at+time.Second, spent) - r.at(at, spent)
 		out.Seconds = append(out.Seconds, one)
 	}
 	for i, p := range r.plan.Script.World.Peers {
@@ -307,14 +334,6 @@
 			Kind: fault.Rogues, From: from.Seconds(), To: to.Seconds(), Note: count(kinds, "kind", "kinds"),
 		})
 	}
-	slices.SortStableFunc(all, func(a, b report.Band) int {
-		switch {
-		case a.From < b.From:
-			return -1
-		case a.From > b.From:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(all, func(a, b report.Band) int { return cmp.Compare(a.From, b.From) })
 	return all
 }
--- /dev/null
+++ b/internal/lab/experiment/run_test.go
@@ -0,0 +1,198 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"olivebridge/internal/lab/fault"
+	"olivebridge/internal/lab/report"
+	"olivebridge/internal/lab/sample"
+	"olivebridge/internal/lab/stage"
+)
+
+// bubble is a Runner on the virtual clock, in this process.
+type bubble struct{ t *testing.T }
+
+func (b bubble) Run(_ context.Context, s *fault.Script, to sample.Sink) (p Played, err error) {
+	synctest.Test(b.t, func(t *testing.T) {
+		p.Clock = clockVirtual
+		for _, v := range stage.Play(t, s, stage.Options{Watch: to}).Violations {
+			p.Broken = append(p.Broken, v.String())
+		}
+	})
+	return p, nil
+}
+
+// The short form of every experiment that comes with the lab holds.
+func TestShipped(t *testing.T) {
+	files, err := filepath.Glob("../../../experiments/*.toml")
+	if err != nil || len(files) < 12 {
+		t.Fatalf("%d experiments: %v", len(files), err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
+			e, err := Load(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			plan, err := e.Plan(e.Seed, true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := plan.Run(t.Context(), bubble{t}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if e.Name != strings.TrimSuffix(filepath.Base(file), ".toml") || len(r.Checks) < 3 || r.Verdict != report.Passed {
+				var text strings.Builder
+				r.WriteText(&text)
+				t.Error(text.String())
+			}
+		})
+	}
+}
+
+// told is a Runner that tells what it was given.
+type told []sample.Request
+
+func (o told) Run(_ context.Context, s *fault.Script, to sample.Sink) (Played, error) {
+	for at := time.Duration(0); at <= s.Length.D(); at += 250 * time.Millisecond {
+		r := sample.Reading{At: at}
+		for i, p := range s.World.Peers { // each second 8 tries come to each, and the first is down for the first two seconds
+			r.Peers = append(r.Peers, sample.Peer{Name: p.Name, Held: i, Down: i == 0 && at < 2*time.Second, Arrived: int(8 * at / time.Second)})
+		}
+		r.Nodes = []sample.Node{{Name: "n1", CPU: at / 100}}
+		to.Reading(r)
+	}
+	for _, q := range o {
+		to.Request(q)
+	}
+	return Played{Clock: "sockets"}, nil
+}
+
+// Guards the figures: times count from when a request was due, those that left are of no account,
+// and whoever was never answered waited all that time.
+func TestFigures(t *testing.T) {
+	e, err := Parse("a.toml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan, err := e.Plan(3, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ms := time.Millisecond
+	var all told
+	add := func(due, begun, ended time.Duration, o sample.Outcome, class string) {
+		all = append(all, sample.Request{Class: class, Tenant: "ashby-dental", Due: due, Begun: begun, Ended: ended, Outcome: o, Tries: 1})
+	}
+	for i := range time.Duration(96) { // quote is worth 1, within 200 ms
+		at := 3*time.Second + i*ms
+		add(at, at, at+50*ms, sample.Served, "quote")
+	}
+	add(4*time.Second, 4*time.Second, 4*time.Second+500*ms, sample.Served, "quote") // late
+	add(4*time.Second, 4*time.Second, 4*time.Second+600*ms, sample.Unanswered, "quote")
+	add(4*time.Second, 4*time.Second, 4*time.Second+ms, sample.Refused, "quote")
+	add(4*time.Second, 4*time.Second, 4*time.Second+ms, sample.Unreached, "quote")
+	add(4*time.Second, 4*time.Second, 4*time.Second+ms, sample.Left, "quote")
+	add(11*time.Second, 11*time.Second, 12*time.Second, sample.Failed, "order-confirm") // in no phase; worth 10
+	r, err := plan.Run(t.Context(), all, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		what, phase string
+		of          report.Part
+		want        float64
+	}{
+		{"worth", "calm", report.Part{}, 0.96}, {"worth", Whole, report.Part{}, 96.0 / 110},
+		{"served", "calm", report.Part{Class: "quote"}, 0.96}, {"late", "calm", report.Part{}, 0.01},
+		{"refused", "calm", report.Part{}, 0.01}, {"failed", "calm", report.Part{}, 0.01},
+		{"failed", Whole, report.Part{Class: "order-confirm"}, 1}, {"worth", "calm", report.Part{Tenant: "ashby-dental"}, 0.96},
+		{"unanswered", "calm", report.Part{}, 0.01}, {"p50", "calm", report.Part{}, 50}, {"p999", "calm", report.Part{}, 600},
+		{"tries", "calm", report.Part{}, 8 * 8 * float64(len(plan.Script.World.Peers)) / 101}, {"cpu", "calm", report.Part{}, 80.0 / 101},
+	} {
+		got, ok := r.Figure(c.what, c.phase, c.of)
+		if !ok || got < c.want*0.998 || got > c.want*1.002 {
+			t.Errorf("%s in %s of %+v: %v, %v; want %v", c.what, c.phase, c.of, got, ok, c.want)
+		}
+	}
+	if h := r.Peers[0].Held; h[0] != report.Down || h[2] != 0 || r.Peers[3].Held[5] != 3 || r.Seconds[3].Asked != 96 {
+		t.Errorf("held %v, %v; second 3: %+v", h, r.Peers[3].Held, r.Seconds[3])
+	}
+	if r.Verdict != report.Failed || r.Checks[0].Verdict != report.Passed || r.Checks[1].Verdict != report.Failed {
+		t.Errorf("%s: %+v", r.Verdict, r.Checks)
+	}
+}
+
+// A load tool that is late hides nothing, and gets no verdict.
+func TestLateTool(t *testing.T) {
+	e, err := Parse("a.toml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan, err := e.Plan(3, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		late int
+		want report.Verdict
+		p99  float64
+	}{{1, report.Passed, 10}, {3, report.None, 130}} {
+		var all told
+		for i := range 200 {
+			at, lag := 3*time.Second+time.Duration(i), time.Duration(0)
+			if i < c.late {
+				lag = 120 * time.Millisecond
+			}
+			all = append(all, sample.Request{Class: "quote", Tenant: "ashby-dental", Due: at, Begun: at + lag, Ended: at + lag + 10*time.Millisecond, Outcome: sample.Served})
+		}
+		r, err := plan.Run(t.Context(), all, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p99, _ := r.Figure("p99", "calm", report.Part{}); r.Verdict != c.want || p99 < c.p99*0.99 || p99 > c.p99*1.01 {
+			t.Errorf("%d late: %s %s, p99 %v; want %s, %v", c.late, r.Verdict, r.Why, p99, c.want, c.p99)
+		}
+	}
+}
+
+// The same plan gives the same report, byte for byte, and says how far it is.
+func TestSameReport(t *testing.T) {
+	e, err := Parse("a.toml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var first string
+	for range 2 {
+		plan, err := e.Plan(3, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		steps := 0
+		r, err := plan.Run(t.Context(), bubble{t}, func(p Progress) { steps++ })
+		if err != nil {
+			t.Fatal(err)
+		}
+		var b bytes.Buffer
+		if err := r.WriteJSON(&b); err != nil {
+			t.Fatal(err)
+		}
+		if text := fmt.Sprint(steps, b.String()); first == "" {
+			first = text
+		} else if text != first {
+			t.Error("two reports of one plan")
+		}
+		if steps < 8 || r.Phases[0].All.Asked < 300 {
+			t.Errorf("%d steps, %d asked", steps, r.Phases[0].All.Asked)
+		}
+	}
+}
--- a/internal/lab/report/chart.go
+++ b/internal/lab/report/chart.go
@@ -30,7 +30,7 @@
 	green  = "#009e73"
 	violet = "#cc79a7"
 	shade  = "#b0413e"
-	gone   = "#f3cfc6"
+	gone   = "#e8dcd6"
 	blank  = "#ffffff"
 )
 
@@ -55,8 +55,10 @@
 	c := &chart{r: r, top: 44}
 	c.text(point{plotLeft, 20}, "start", `font-size="15" font-weight="600"`, r.Name)
 	lanes := c.top
-	c.top += lane*float64(len(r.Faults)) + 22
-	begin := c.top
+	c.top += lane*float64(len(r.Faults)) + 14
+	names := c.top
+	begin := c.top + 4
+	c.top = begin + 26
 	c.worth()
 	c.requests()
 	c.latency()
@@ -71,7 +73,7 @@
 		place(picture), place(high), place(picture), place(high), ink, escape(r.Name+": worth, requests, latency and peers over time"))
 	c.rect(0, 0, picture, high, blank, "", "")
 	c.faults(lanes, begin, end)
-	c.phases(begin, end)
+	c.phases(names, begin, end)
 	c.b.WriteString(body)
 	c.b.WriteString("</svg>\n")
 	return c.b.String()
@@ -92,7 +94,7 @@
 			label += ": " + f.Note
 		}
 		tip := fmt.Sprintf("%s, %s to %s", label, seconds(f.From), seconds(f.To))
-		c.rect(from, begin-14, wide, end-begin+14, shade, `fill-opacity="0.08"`, "")
+		c.rect(from, begin, wide, end-begin, shade, `fill-opacity="0.06"`, "")
 		c.rect(from, at, wide, lane-3, shade, `fill-opacity="0.55"`, tip)
 		c.text(point{plotRight + 10, at + 9}, "start", `font-size="10"`, label)
 		c.line(point{from + wide, at + lane/2 - 1.5}, point{plotRight + 6, at + lane/2 - 1.5}, rule, `stroke-dasharray="1 3"`)
@@ -100,15 +102,15 @@
 }
 
 // phases draws where they begin and end, and their names.
-func (c *chart) phases(begin, end float64) {
+func (c *chart) phases(names, begin, end float64) {
 	for _, p := range c.r.Phases {
 		if p.Name == Whole {
 			continue
 		}
 		from, to := c.x(p.From), c.x(p.To)
-		c.text(point{(from + to) / 2, begin - 12}, "middle", `font-size="10" fill="`+faint+`"`, p.Name)
+		c.text(point{(from + to) / 2, names}, "middle", `font-size="10" fill="`+faint+`"`, p.Name)
 		for _, x := range []float64{from, to} {
-			c.line(point{x, begin - 10}, point{x, end}, faint, `stroke-dasharray="3 3" stroke-opacity="0.6"`)
+			c.line(point{x, begin}, point{x, end}, faint, `stroke-dasharray="3 3" stroke-opacity="0.6"`)
 		}
 	}
 }
@@ -254,17 +256,7 @@
 	for i, p := range c.r.Peers {
 		y := top + cell*float64(i)
 		c.text(point{plotLeft - 6, y + 9}, "end", `font-size="9" fill="`+faint+`"`, p.Name)
-		for at, held := range p.Held {
-			x, wide := c.x(float64(at)), c.x(float64(at+1))-c.x(float64(at))
-			tip := fmt.Sprintf("%s, %s: %s", p.Name, seconds(float64(at)), strconv.FormatFloat(held, 'f', 1, 64))
-			switch held {
-			case Unknown:
-				continue
-			case Down:
-				tip = fmt.Sprintf("%s, %s: down", p.Name, seconds(float64(at)))
-			}
-			c.rect(x, y, wide, cell-1, heat(held, most), "", tip)
-		}
+		c.row(y, p, most)
 	}
 	high := cell * float64(len(c.r.Peers))
 	c.legend(top, []string{"down", "0", plain(math.Round(most/2*10) / 10), plain(math.Round(most*10) / 10)},
@@ -272,12 +264,38 @@
 	c.top += max(high, 64) + gap
 }
 
+// row draws one peer's: neighbours of one colour are one shape.
+func (c *chart) row(y float64, p Peer, most float64) {
+	for from := 0; from < len(p.Held); {
+		to, sum := from, 0.0
+		for to < len(p.Held) && heat(p.Held[to], most) == heat(p.Held[from], most) {
+			sum += p.Held[to]
+			to++
+		}
+		what := fmt.Sprintf("holds %.1f", sum/float64(to-from))
+		if p.Held[from] == Down {
+			what = "down"
+		}
+		if p.Held[from] != Unknown {
+			tip := fmt.Sprintf("%s, %ds to %ds: %s", p.Name, from, to, what)
+			c.rect(c.x(float64(from)), y, c.x(float64(to))-c.x(float64(from)), cell-1, heat(p.Held[from], most), "", tip)
+		}
+		from = to
+	}
+}
+
+// shades is how many steps the colours of peers have.
+const shades = 8
+
 // heat is the colour of a number from 0 to most, finer where it is small.
 func heat(v, most float64) string {
 	if v == Down {
 		return gone
 	}
-	part := math.Sqrt(min(max(v/most, 0), 1))
+	if v == Unknown {
+		return blank
+	}
+	part := math.Round(shades*math.Sqrt(min(max(v/most, 0), 1))) / shades
 	mix := func(from, to float64) int { return int(math.Round(from + (to-from)*part)) }
 	return fmt.Sprintf("#%02x%02x%02x", mix(0xee, 0x0b), mix(0xf3, 0x3c), mix(0xf8, 0x6d))
 }
--- a/internal/lab/report/figure.go
+++ b/internal/lab/report/figure.go
@@ -4,23 +4,23 @@
 
 // FigureKind is a figure that may be asserted, or compared.
 type FigureKind struct {
-	Name    string
-	Unit    string // of times; empty: a share, or a number
-	Time    bool   // bounds are lengths of time
-	OfClass bool   // it is known of each class
-	More    bool   // more of it is better
-	of      func(f *Figures) (float64, bool)
+	Name   string
+	Unit   string // of times; empty: a share, or a number
+	Time   bool   // bounds are lengths of time
+	OfPart bool   // it is known of each class and tenant
+	More   bool   // more of it is better
+	of     func(f *Figures) (float64, bool)
 }
 
 // FigureKinds are all there are, in the order in which they are shown.
 func FigureKinds() []FigureKind {
 	share := func(name string, n func(*Figures) int) FigureKind {
-		return FigureKind{Name: name, OfClass: true, of: func(f *Figures) (float64, bool) {
+		return FigureKind{Name: name, OfPart: true, of: func(f *Figures) (float64, bool) {
 			return f.Share(n(f)), f.Asked > f.Left
 		}}
 	}
 	latency := func(name string, v func(*Figures) float64) FigureKind {
-		return FigureKind{Name: name, Unit: "ms", Time: true, OfClass: true, of: func(f *Figures) (float64, bool) {
+		return FigureKind{Name: name, Unit: "ms", Time: true, OfPart: true, of: func(f *Figures) (float64, bool) {
 			return v(f), v(f) > 0
 		}}
 	}
@@ -30,7 +30,7 @@
 		}
 		return *v, true
 	}
-	worth := FigureKind{Name: "worth", OfClass: true, More: true, of: func(f *Figures) (float64, bool) {
+	worth := FigureKind{Name: "worth", OfPart: true, More: true, of: func(f *Figures) (float64, bool) {
 		return f.Worth, f.Asked > f.Left
 	}}
 	served := share("served", func(f *Figures) int { return f.Served })
@@ -60,9 +60,12 @@
 	return all[i], true
 }
 
-// Figure is a figure of a phase, for a class or, if that is empty, for all; it
-// reports false where there is none.
-func (r *Report) Figure(what, phase, class string) (float64, bool) {
+// Part is the requests that a figure is of: those of a class, or of a tenant, or,
+// if both are empty, all.
+type Part struct{ Class, Tenant string }
+
+// Figure is a figure of a phase and a part; it reports false where there is none.
+func (r *Report) Figure(what, phase string, of Part) (float64, bool) {
 	k, ok := FigureNamed(what)
 	if !ok {
 		return 0, false
@@ -72,14 +75,22 @@
 		if p.Name != phase {
 			continue
 		}
-		if class == "" {
-			return k.of(&p.All)
-		}
-		for j := range p.Classes {
-			if p.Classes[j].Class == class {
-				return k.of(&p.Classes[j])
+		for _, f := range p.parts() {
+			if (Part{f.Class, f.Tenant}) == of {
+				return k.of(f)
 			}
 		}
 	}
 	return 0, false
 }
+
+// parts are the figures of all, then of each class and each tenant.
+func (p *Phase) parts() []*Figures {
+	all := []*Figures{&p.All}
+	for _, list := range [][]Figures{p.Classes, p.Tenants} {
+		for i := range list {
+			all = append(all, &list[i])
+		}
+	}
+	return all
+}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -68,6 +68,7 @@
 type Check struct {
 	What    string   `json:"what"`
 	Class   string   `json:"class,omitempty"`
+	Tenant  string   `json:"tenant,omitempty"`
 	Phase   string   `json:"phase"`
 	Unit    string   `json:"unit,omitempty"`
 	Value   float64  `json:"value"`
@@ -137,10 +138,11 @@
 	return 0
 }
 
-// Figures are those of a phase, for one class or all. Latencies are of requests
+// Figures are those of a phase, for one class, one tenant or all. Latencies are of requests
 // that were served or never answered, and count from when they were due.
 type Figures struct {
-	Class string `json:"class,omitempty"`
+	Class  string `json:"class,omitempty"`
+	Tenant string `json:"tenant,omitempty"`
 	Counts
 	Worth float64  `json:"worth"` // share of what was asked for
 	P50   float64  `json:"p50_ms"`
@@ -148,7 +150,7 @@
 	P99   float64  `json:"p99_ms"`
 	P999  float64  `json:"p999_ms"`
 	Max   float64  `json:"max_ms"`
-	Tries *float64 `json:"tries,omitempty"`  // that came to peers, per request; of all classes only
+	Tries *float64 `json:"tries,omitempty"`  // that came to peers, per request; of all only
 	CPU   *float64 `json:"cpu_ms,omitempty"` // of the nodes, per request; where the clock can tell
 }
 
@@ -159,6 +161,7 @@
 	To      float64   `json:"to"`
 	All     Figures   `json:"all"`
 	Classes []Figures `json:"classes"`
+	Tenants []Figures `json:"tenants"`
 }
 
 // Second is what became of the requests that were due in one second.
@@ -214,12 +217,22 @@
 	}
 }
 
-// WriteJSON writes the report as JSON.
+// WriteJSON writes the report as JSON. A list without anything in it is one all the same.
 func (r *Report) WriteJSON(w io.Writer) error {
+	full := *r
+	full.Checks, full.Broken = list(r.Checks), list(r.Broken)
+	full.Faults, full.Events = list(r.Faults), list(r.Events)
 	e := json.NewEncoder(w)
 	e.SetIndent("", " ")
-	if err := e.Encode(r); err != nil {
+	if err := e.Encode(full); err != nil {
 		return fmt.Errorf("writing the report: %w", err)
 	}
 	return nil
 }
+
+func list[T any](some []T) []T {
+	if some == nil {
+		return []T{}
+	}
+	return some
+}
--- a/internal/lab/report/text.go
+++ b/internal/lab/report/text.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"strconv"
@@ -18,7 +19,7 @@
 	}
 	fmt.Fprintf(w, "%s: %s\n", r.Name, r.Shows)
 	fmt.Fprintf(w, "%s clock, seed %d, %gs%s\n\n", r.Clock, r.Seed, r.Length, form)
-	r.figureTable().write(w)
+	r.figureTable(false).write(w)
 	if len(r.Faults) > 0 {
 		fmt.Fprintln(w)
 		t := table{{"fault", "from", "to", "about"}}
@@ -64,20 +65,22 @@
 	return line
 }
 
-// figureTable is a line for each phase and class.
-func (r *Report) figureTable() table {
-	t := table{{"phase", "class", "asked", "worth", "late", "refused", "failed", "no answer",
+// figureTable is a line for each phase and its parts; unless all is asked for,
+// the parts of the whole run only.
+func (r *Report) figureTable(all bool) table {
+	t := table{{"phase", "of", "asked", "worth", "late", "refused", "failed", "no answer",
 		"p50", "p90", "p99", "p99.9", "tries", "cpu"}}
 	for i := range r.Phases {
 		p := &r.Phases[i]
 		name := fmt.Sprintf("%s %s-%s", p.Name, seconds(p.From), seconds(p.To))
-		for j, f := range append([]Figures{p.All}, p.Classes...) {
+		for j, f := range p.parts() {
+			if j > 0 && p.Name != Whole && !all {
+				break
+			}
 			if j > 0 {
 				name = ""
-			} else {
-				f.Class = "all"
 			}
-			t = append(t, []string{name, f.Class, strconv.Itoa(f.Asked), fmt.Sprintf("%.3f", f.Worth),
+			t = append(t, []string{name, cmp.Or(f.Class, f.Tenant, "all"), strconv.Itoa(f.Asked), fmt.Sprintf("%.3f", f.Worth),
 				percent(f.Share(f.Late)), percent(f.Share(f.Refused)), percent(f.Share(f.Failed)),
 				percent(f.Share(f.Unanswered)), millis(f.P50), millis(f.P90), millis(f.P99), millis(f.P999),
 				number(f.Tries, "%.2f"), number(f.CPU, "%.3fms")})
@@ -107,8 +110,8 @@
 
 func (c *Check) name() string {
 	name := c.What
-	if c.Class != "" {
-		name += " of " + c.Class
+	if of := cmp.Or(c.Class, c.Tenant); of != "" {
+		name += " of " + of
 	}
 	if c.Phase != Whole {
 		name += " in " + c.Phase
