--- a/cmd/olivelab/main_test.go
+++ b/cmd/olivelab/main_test.go
@@ -13,10 +13,17 @@
 	"olivebridge/internal/lab/campaign/campaigntest"
 )
 
+// worldEnv makes workers play the lab's own world in place of the toy.
+const worldEnv = "OLIVELAB_TEST_WORLD"
+
 // The test binary is its own worker, on the toy's sources.
 func TestMain(m *testing.M) {
 	if len(os.Args) == 2 && os.Args[1] == "worker" {
-		os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr, campaigntest.Sources()))
+		s := campaigntest.Sources()
+		if os.Getenv(worldEnv) != "" {
+			s = sources()
+		}
+		os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr, s))
 	}
 	os.Setenv("GORACE", "atexit_sleep_ms=0") // or the race detector adds a second to each worker's end
 	os.Exit(m.Run())
--- /dev/null
+++ b/cmd/olivelab/run_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// small is an experiment of three seconds; what of its figures is asserted is left open.
+const small = `name = "small"
+shows = "that it runs"
+seed = 1
+length = "3s"
+
+[world]
+peers = 3
+nodes = 1
+rate = %d
+
+[[assert]]
+what = "worth"
+%s
+`
+
+// experiments writes files into the current folder: one that holds, one that fails, one that is
+// bad, and one that asks more.
+func experiments(t *testing.T) {
+	t.Helper()
+	t.Chdir(t.TempDir())
+	t.Setenv(worldEnv, "yes")
+	for name, text := range map[string]string{
+		"good.toml":  fmt.Sprintf(small, 20, "least = 0.01"),
+		"fails.toml": fmt.Sprintf(small, 20, "most = 0.01"),
+		"bad.toml":   fmt.Sprintf(small, 20, "least = '1s'"),
+		"more.toml":  fmt.Sprintf(small, 40, "least = 0.01"),
+	} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestRunCalls(t *testing.T) {
+	experiments(t)
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args      string
+		code      int
+		out, errs string // patterns
+	}{
+		{"run --virtual good.toml --json r.json --html r.html --svg r.svg", 0, `(?s)^small: .*\npassed: 1 of 1 assertions hold\n$`, `^$`},
+		{"run --virtual fails.toml", 1, `\nworth +<= 0.0100 +0.\d+ +failed\n(?s:.*)\nfailed: 0 of 1 assertions hold\n$`, `^$`},
+		{"run --virtual --seed 2 --short good.toml", 0, `seed 2, 3s, short form`, `^$`},
+		{"run good.toml", 2, `^$`, `^olivelab: this build plays on the virtual clock only: add --virtual\n$`},
+		{"run --virtual bad.toml", 2, `^$`, `^olivelab: bad.toml:13: assert\[0\].least: worth wants a number\n$`},
+		{"run --virtual none.toml", 2, `^$`, `^olivelab: none.toml:1: cannot be read: no such file or directory\n$`},
+		{"run --virtual good.toml --json no/where", 2, `^$`, `^olivelab: no/where: no such file or directory\n$`},
+		{"run", 2, `^$`, `^olivelab: accepts 1 arg`},
+		{"compare --virtual good.toml good.toml --pairs 2", 0, `\nno difference seen\n$`, `pair 2 of 2: `},
+		{"compare --virtual good.toml more.toml --pairs 1", 0, `too few pairs to tell: 6 at least\n$`, ``},
+		{"compare --virtual --pairs 1 --experiment good.toml " + self + " " + self, 0, `the same in every pair`, ``},
+		{"compare --experiment good.toml " + self + " " + self, 2, `^$`, `builds are compared on the virtual clock`},
+		{"compare --virtual a b", 2, `^$`, `^olivelab: --experiment: which file are the builds to play\?\n$`},
+		{"compare --virtual good.toml b", 2, `^$`, `^olivelab: wanted: two experiment files, or two builds\n$`},
+		{"compare --virtual good.toml good.toml --experiment good.toml", 2, `^$`, `only with two builds\n$`},
+		{"compare --virtual good.toml bad.toml", 2, `^$`, `^olivelab: bad.toml:13: `},
+		{"compare --virtual good.toml good.toml --pairs 0", 2, `^$`, `^olivelab: --pairs: at least 1\n$`},
+		{"compare --virtual --experiment good.toml /none /none", 2, `^$`, `^olivelab: /none: .*no such file`},
+	} {
+		code, out, errs := call(t, strings.Fields(c.args)...)
+		said := regexp.MustCompile(c.out).MatchString(out) && regexp.MustCompile(c.errs).MatchString(errs)
+		if code != c.code || !said {
+			t.Errorf("olivelab %s: exit %d, want %d\nout: %s\nerr: %s", c.args, code, c.code, out, errs)
+		}
+	}
+	for name, begin := range map[string]string{"r.json": "{\n \"form\": 1,", "r.html": "<!doctype html>", "r.svg": "<svg "} {
+		if data, err := os.ReadFile(name); err != nil || !strings.HasPrefix(string(data), begin) {
+			t.Errorf("%s: %v: %.40q", name, err, data)
+		}
+	}
+}
+
+// A worker of a build that tells nothing of its runs is not taken for one in which nothing happened.
+func TestRunOldBuild(t *testing.T) {
+	experiments(t)
+	t.Setenv(worldEnv, "")
+	if code, _, errs := call(t, "run", "--virtual", "good.toml"); code != 2 || !strings.Contains(errs, "tells nothing of its runs") {
+		t.Error(code, errs)
+	}
+}
--- a/internal/lab/campaign/worker.go
+++ b/internal/lab/campaign/worker.go
@@ -105,7 +105,9 @@
 		player = w.sources.Logged(os.Stderr)
 	}
 	if j.Watch {
-		player = w.sources.Watched
+		if player = w.sources.Watched; player == nil {
+			return reply{ID: j.ID, Error: "this worker tells nothing of its runs"}
+		}
 	}
 	var result *stage.Result
 	whole := t.Run("run", func(t *testing.T) {
--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -28,8 +28,8 @@
 	Same    Seen = "the same in every pair"
 	No      Seen = "no difference seen"
 	TooFew  Seen = "too few pairs to tell"
-	BMore   Seen = "B is more"
-	BLess   Seen = "B is less"
+	Better  Seen = "B is better"
+	Worse   Seen = "B is worse"
 	Nothing Seen = "not measured"
 )
 
@@ -42,6 +42,7 @@
 // Row is one figure of one phase.
 type Row struct {
 	What  string  `json:"what"`
+	Up    bool    `json:"up"` // more of it is better
 	Phase string  `json:"phase"`
 	Unit  string  `json:"unit,omitempty"`
 	A     float64 `json:"a"` // median of the pairs
@@ -63,7 +64,7 @@
 	var rows []Row
 	for _, p := range pairs[0].A.Phases {
 		for _, k := range report.FigureKinds() {
-			r := Row{What: k.Name, Phase: p.Name, Unit: k.Unit}
+			r := Row{What: k.Name, Up: k.More, Phase: p.Name, Unit: k.Unit}
 			var a, b []float64
 			for _, one := range pairs {
 				x, ok := one.A.Figure(k.Name, p.Name, report.Part{})
@@ -110,10 +111,10 @@
 		r.Seen = TooFew
 	case r.P > rarely || r.Lo <= nothing && r.Hi >= nothing:
 		r.Seen = No
-	case r.More > r.Less:
-		r.Seen = BMore
+	case r.More > r.Less == r.Up:
+		r.Seen = Better
 	default:
-		r.Seen = BLess
+		r.Seen = Worse
 	}
 }
 
@@ -125,7 +126,7 @@
 	x, y := make([]float64, len(a)), make([]float64, len(a))
 	for range resample {
 		drawPairs(draws, a, b, x, y)
-		switch ma, mb := median(x), median(y); {
+		switch ma, mb := sortedMedian(x), sortedMedian(y); {
 		case r.A == 0:
 			all = append(all, mb-ma)
 		case ma == 0:
@@ -161,8 +162,11 @@
 	return min(2*sum/math.Pow(2, float64(n)), 1)
 }
 
-func median(of []float64) float64 {
-	s := slices.Sorted(slices.Values(of))
+func median(of []float64) float64 { return sortedMedian(slices.Clone(of)) }
+
+// sortedMedian sorts what it is given.
+func sortedMedian(s []float64) float64 {
+	slices.Sort(s)
 	n := len(s)
 	if n%2 == 1 {
 		return s[n/2]
@@ -179,7 +183,7 @@
 		if r.Seen == Nothing {
 			continue
 		}
-		if r.Seen == BMore || r.Seen == BLess {
+		if r.Seen == Better || r.Seen == Worse {
 			seen++
 		}
 		phase := r.Phase
--- a/internal/lab/report/chart.go
+++ b/internal/lab/report/chart.go
@@ -3,14 +3,16 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
+	"strings"
 )
 
 // Measures of the picture.
 const (
-	picture   = 960.0 // wide
+	wide      = 960.0
 	plotLeft  = 62.0
 	plotRight = 790.0 // keys stand to the right of it
 	lane      = 15.0  // high, of a fault
@@ -38,21 +40,23 @@
 // faults shaded through all of them.
 type chart struct {
 	svg
-	r   *Report
-	top float64 // where the next panel begins
+	r     *Report
+	top   float64 // where the next panel begins
+	tips  bool    // shapes say what they stand for to who points at them
+	cells map[string]*strings.Builder
 }
 
-// WriteSVG writes the report's picture.
+// WriteSVG writes the report's picture, as small as it may be.
 func (r *Report) WriteSVG(w io.Writer) error {
-	if _, err := io.WriteString(w, r.SVG()); err != nil {
+	if _, err := io.WriteString(w, r.picture(false)); err != nil {
 		return fmt.Errorf("writing the picture: %w", err)
 	}
 	return nil
 }
 
-// SVG is the report's picture.
-func (r *Report) SVG() string {
-	c := &chart{r: r, top: 44}
+// picture is the report's; with tips, shapes say what they stand for.
+func (r *Report) picture(tips bool) string {
+	c := &chart{r: r, top: 44, tips: tips, cells: map[string]*strings.Builder{}}
 	c.text(point{plotLeft, 20}, "start", `font-size="15" font-weight="600"`, r.Name)
 	lanes := c.top
 	c.top += lane*float64(len(r.Faults)) + 14
@@ -70,8 +74,8 @@
 	c.b.Reset()
 	fmt.Fprintf(&c.b, `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 %s %s" width="%s" height="%s" `+
 		`font-family="system-ui, Helvetica, Arial, sans-serif" font-size="11" fill="%s" role="img" aria-label="%s">`+"\n",
-		place(picture), place(high), place(picture), place(high), ink, escape(r.Name+": worth, requests, latency and peers over time"))
-	c.rect(0, 0, picture, high, blank, "", "")
+		place(wide), place(high), place(wide), place(high), ink, escape(r.Name+": worth, requests, latency and peers over time"))
+	c.rect(0, 0, wide, high, blank, "", "")
 	c.faults(lanes, begin, end)
 	c.phases(names, begin, end)
 	c.b.WriteString(body)
@@ -87,17 +91,17 @@
 // faults draws a lane for each, and its shade through all panels.
 func (c *chart) faults(y, begin, end float64) {
 	for i, f := range c.r.Faults {
-		from, wide := c.x(f.From), max(c.x(f.To)-c.x(f.From), 2)
+		from, long := c.x(f.From), max(c.x(f.To)-c.x(f.From), 2)
 		at := y + lane*float64(i)
 		label := f.Kind
 		if f.Note != "" {
 			label += ": " + f.Note
 		}
-		tip := fmt.Sprintf("%s, %s to %s", label, seconds(f.From), seconds(f.To))
-		c.rect(from, begin, wide, end-begin, shade, `fill-opacity="0.06"`, "")
-		c.rect(from, at, wide, lane-3, shade, `fill-opacity="0.55"`, tip)
+		tip := c.tip("%s, %s to %s", label, seconds(f.From), seconds(f.To))
+		c.rect(from, begin, long, end-begin, shade, `fill-opacity="0.06"`, "")
+		c.rect(from, at, long, lane-3, shade, `fill-opacity="0.55"`, tip)
 		c.text(point{plotRight + 10, at + 9}, "start", `font-size="10"`, label)
-		c.line(point{from + wide, at + lane/2 - 1.5}, point{plotRight + 6, at + lane/2 - 1.5}, rule, `stroke-dasharray="1 3"`)
+		c.line(point{from + long, at + lane/2 - 1.5}, point{plotRight + 6, at + lane/2 - 1.5}, rule, `stroke-dasharray="1 3"`)
 	}
 }
 
@@ -201,7 +205,7 @@
 	names := []string{"late", "refused", "failed", "no answer"}
 	colours := []string{orange, violet, red, ink}
 	for _, one := range c.r.Seconds {
-		at, wide := c.x(one.At), c.x(one.At+1)-c.x(one.At)
+		at, long := c.x(one.At), c.x(one.At+1)-c.x(one.At)
 		base := s.top + s.high
 		for i, n := range []int{one.Late, one.Refused, one.Failed, one.Unanswered} {
 			if n == 0 {
@@ -209,7 +213,7 @@
 			}
 			high := s.top + s.high - s.y(float64(n))
 			base -= high
-			c.rect(at+0.5, base, max(wide-1, 1), high, colours[i], "", fmt.Sprintf("%s: %d %s", seconds(one.At), n, names[i]))
+			c.rect(at+0.5, base, max(long-1, 1), high, colours[i], "", c.tip("%s: %d %s", seconds(one.At), n, names[i]))
 		}
 	}
 	c.series(s, green, thick, func(one Second) (float64, bool) { return float64(one.Tries), true })
@@ -258,6 +262,7 @@
 		c.text(point{plotLeft - 6, y + 9}, "end", `font-size="9" fill="`+faint+`"`, p.Name)
 		c.row(y, p, most)
 	}
+	c.flush()
 	high := cell * float64(len(c.r.Peers))
 	c.legend(top, []string{"down", "0", plain(math.Round(most/2*10) / 10), plain(math.Round(most*10) / 10)},
 		[]string{gone, heat(0, most), heat(most/2, most), heat(most, most)})
@@ -277,13 +282,40 @@
 			what = "down"
 		}
 		if p.Held[from] != Unknown {
-			tip := fmt.Sprintf("%s, %ds to %ds: %s", p.Name, from, to, what)
-			c.rect(c.x(float64(from)), y, c.x(float64(to))-c.x(float64(from)), cell-1, heat(p.Held[from], most), "", tip)
+			c.cell(y, from, to, heat(p.Held[from], most), c.tip("%s, %ds to %ds: %s", p.Name, from, to, what))
 		}
 		from = to
 	}
 }
 
+// cell draws some seconds of a row. Without tips, all of one colour are one shape.
+func (c *chart) cell(y float64, from, to int, colour, tip string) {
+	x, long := c.x(float64(from)), c.x(float64(to))-c.x(float64(from))
+	if c.tips {
+		c.rect(x, y, long, cell-1, colour, "", tip)
+		return
+	}
+	if c.cells[colour] == nil {
+		c.cells[colour] = &strings.Builder{}
+	}
+	fmt.Fprintf(c.cells[colour], "M%s %sh%sv%sh-%sz", place(x), place(y), place(long), place(cell-1), place(long))
+}
+
+// flush draws the cells that were kept back.
+func (c *chart) flush() {
+	for _, colour := range slices.Sorted(maps.Keys(c.cells)) {
+		fmt.Fprintf(&c.b, `<path fill="%s" d="%s"/>`+"\n", colour, c.cells[colour])
+	}
+}
+
+// tip is what a shape says; empty, where none is wanted.
+func (c *chart) tip(format string, args ...any) string {
+	if !c.tips {
+		return ""
+	}
+	return fmt.Sprintf(format, args...)
+}
+
 // shades is how many steps the colours of peers have.
 const shades = 8
 
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -21,7 +21,7 @@
 		Picture    template.HTML
 		Figures    table
 		Assertions table
-	}{r, template.HTML(r.SVG()), r.figureTable(true), r.checkTable()} //nolint:gosec // the SVG escapes its texts
+	}{r, template.HTML(r.picture(true)), r.figureTable(true), r.checkTable()} //nolint:gosec // the SVG escapes its texts
 	if err := t.Execute(w, data); err != nil {
 		return fmt.Errorf("writing the page: %w", err)
 	}
