--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -211,12 +211,29 @@
 	default:
 		fmt.Fprintf(&text, "\n%d figures differ; of as many figures that do not, about one in twenty would be said to\n", seen)
 	}
+	for i, name := range []string{"A", "B"} {
+		if n, first := broken(pairs, i); n > 0 {
+			fmt.Fprintf(&text, "%s broke rules in %d of its runs, which count for nothing: %s\n", name, n, first)
+		}
+	}
 	if _, err := io.WriteString(out, text.String()); err != nil {
 		return fmt.Errorf("writing the comparison: %w", err)
 	}
 	return nil
 }
 
+// broken is in how many of one side's runs a rule was broken, and the first of them.
+func broken(pairs []Pair, side int) (n int, first string) {
+	for _, p := range pairs {
+		if r := [...]*report.Report{p.A, p.B}[side]; len(r.Broken) > 0 {
+			if n++; n == 1 {
+				first = fmt.Sprintf("seed %d: %s", r.Seed, r.Broken[0])
+			}
+		}
+	}
+	return n, first
+}
+
 // leastPairs is how many must agree before a difference is believed.
 func leastPairs() int {
 	n := 1
--- a/internal/lab/compare/compare_test.go
+++ b/internal/lab/compare/compare_test.go
@@ -94,12 +94,15 @@
 
 func TestWrite(t *testing.T) {
 	six := []float64{100, 120, 90, 110, 105, 95}
+	broke := pairs(six, six, 1, 1)
+	broke[2].B.Seed, broke[2].B.Broken = 9, []string{"late", "lost"}
 	for _, c := range []struct {
 		all  []Pair
 		want []string
 	}{
 		{pairs(six, six, 1, 1), []string{"A: old\nB: new\n6 pairs", "the same in every pair", "\nno difference seen\n"}},
 		{pairs(six[:2], six[1:3], 1, 1), []string{"too few pairs to tell: 6 at least"}},
+		{broke, []string{"B broke rules in 1 of its runs, which count for nothing: seed 9: late\n"}},
 		{pairs(six, six, 0, 5), []string{"B is worse", "+0.05 to +0.05", "2 figures differ"}},
 	} {
 		var b strings.Builder
