--- a/cmd/olivelab/compare.go
+++ b/cmd/olivelab/compare.go
@@ -100,8 +100,9 @@
 }
 
 // playPairs plays all pairs, in turn A B, B A.
-func playPairs(ctx context.Context, sides [2]side, pairs uint64, short bool, errs io.Writer) ([]compare.Pair, error) {
-	var all []compare.Pair
+func playPairs(
+	ctx context.Context, sides [2]side, pairs uint64, short bool, errs io.Writer,
+) (all []compare.Pair, err error) {
 	for n := range pairs {
 		var got [2]*report.Report
 		for turn := range 2 {
@@ -119,7 +120,8 @@
 			}
 		}
 		all = append(all, compare.Pair{A: got[0], B: got[1]})
-		fmt.Fprintf(errs, "pair %d of %d: worth %.4f and %.4f\n", n+1, pairs, got[0].Phases[0].All.Worth, got[1].Phases[0].All.Worth)
+		worth := func(i int) float64 { return got[i].Phases[0].All.Worth }
+		fmt.Fprintf(errs, "pair %d of %d: worth %.4f and %.4f\n", n+1, pairs, worth(0), worth(1))
 	}
 	return all, nil
 }
--- a/cmd/olivelab/run_test.go
+++ b/cmd/olivelab/run_test.go
@@ -53,8 +53,10 @@
 		code      int
 		out, errs string // patterns
 	}{
-		{"run --virtual good.toml --json r.json --html r.html --svg r.svg", 0, `(?s)^small: .*\npassed: 1 of 1 assertions hold\n$`, `^$`},
-		{"run --virtual fails.toml", 1, `\nworth +<= 0.0100 +0.\d+ +failed\n(?s:.*)\nfailed: 0 of 1 assertions hold\n$`, `^$`},
+		{"run --virtual good.toml --json r.json --html r.html --svg r.svg", 0,
+			`(?s)^small: .*\npassed: 1 of 1 assertions hold\n$`, `^$`},
+		{"run --virtual fails.toml", 1,
+			`\nworth +<= 0.0100 +0.\d+ +failed\n(?s:.*)\nfailed: 0 of 1 assertions hold\n$`, `^$`},
 		{"run --virtual --seed 2 --short good.toml", 0, `seed 2, 3s, short form`, `^$`},
 		{"run good.toml", 2, `^$`, `^olivelab: this build plays on the virtual clock only: add --virtual\n$`},
 		{"run --virtual bad.toml", 2, `^$`, `^olivelab: bad.toml:13: assert\[0\].least: worth wants a number\n$`},
@@ -78,7 +80,8 @@
 			t.Errorf("olivelab %s: exit %d, want %d\nout: %s\nerr: %s", c.args, code, c.code, out, errs)
 		}
 	}
-	for name, begin := range map[string]string{"r.json": "{\n \"form\": 1,", "r.html": "<!doctype html>", "r.svg": "<svg "} {
+	begins := map[string]string{"r.json": "{\n \"form\": 1,", "r.html": "<!doctype html>", "r.svg": "<svg "}
+	for name, begin := range begins {
 		if data, err := os.ReadFile(name); err != nil || !strings.HasPrefix(string(data), begin) {
 			t.Errorf("%s: %v: %.40q", name, err, data)
 		}
@@ -89,7 +92,8 @@
 func TestRunOldBuild(t *testing.T) {
 	experiments(t)
 	t.Setenv(worldEnv, "")
-	if code, _, errs := call(t, "run", "--virtual", "good.toml"); code != 2 || !strings.Contains(errs, "tells nothing of its runs") {
+	code, _, errs := call(t, "run", "--virtual", "good.toml")
+	if code != 2 || !strings.Contains(errs, "tells nothing of its runs") {
 		t.Error(code, errs)
 	}
 }
--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -209,7 +209,7 @@
 	case seen == 0:
 		fmt.Fprintln(&text, "\nno difference seen")
 	default:
-		fmt.Fprintf(&text, "\n%d figures differ; of as many figures that do not, about one in twenty would be said to\n", seen)
+		fmt.Fprintf(&text, "\n%d figures differ; of those that do not, about one in twenty would be said to\n", seen)
 	}
 	for i, name := range []string{"A", "B"} {
 		if n, first := broken(pairs, i); n > 0 {
--- a/internal/lab/compare/compare_test.go
+++ b/internal/lab/compare/compare_test.go
@@ -12,7 +12,8 @@
 // pairs are runs whose p99 is as given, and whose shares of failed requests are.
 func pairs(a, b []float64, failedA, failedB int) (all []Pair) {
 	one := func(p99 float64, failed int) *report.Report {
-		f := report.Figures{Counts: report.Counts{Asked: 100, Served: 100 - failed, Failed: failed}, Worth: 1, P50: 10, P90: 20, P99: p99, P999: 99}
+		counts := report.Counts{Asked: 100, Served: 100 - failed, Failed: failed}
+		f := report.Figures{Counts: counts, Worth: 1, P50: 10, P90: 20, P99: p99, P999: 99}
 		return &report.Report{Phases: []report.Phase{{Name: report.Whole, All: f}}}
 	}
 	for i := range a {
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -10,6 +10,7 @@
 package experiment
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -85,7 +86,7 @@
 }
 
 func reason(err error) string {
-	if e, ok := err.(*os.PathError); ok {
+	if e, ok := errors.AsType[*os.PathError](err); ok {
 		return e.Err.Error()
 	}
 	return err.Error()
--- a/internal/lab/experiment/file_test.go
+++ b/internal/lab/experiment/file_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -100,7 +101,8 @@
 		if c.want != "" && !strings.HasPrefix(said, c.want) {
 			t.Errorf("%q: error %q, want %q", c.new, said, c.want)
 		}
-		if line := 1 + strings.Count(good[:i]+c.new, "\n"); c.want != "" && !strings.HasPrefix(err.Error(), fmt.Sprintf("a.toml:%d:", line)) {
+		line := 1 + strings.Count(good[:i]+c.new, "\n")
+		if c.want != "" && !strings.HasPrefix(err.Error(), fmt.Sprintf("a.toml:%d:", line)) {
 			t.Errorf("%q: error %q, want it in line %d", c.new, err, line)
 		}
 	}
@@ -146,8 +148,56 @@
 			length, death, phase = length/2, death/2, phase/2
 		}
 		s := one.Script
-		if s.Length.D() != length || s.Faults[0].At.D() != death || one.Phases[0].For.D() != phase || len(s.Faults[0].Peers) != 1 {
+		f := s.Faults[0]
+		if s.Length.D() != length || f.At.D() != death || one.Phases[0].For.D() != phase || len(f.Peers) != 1 {
 			t.Errorf("short %v: %v, %+v, %+v", short, s.Length.D(), s.Faults, one.Phases)
 		}
 	}
 }
+
+// A whole script may stand in place of a world: it is played as it is, with the experiment's faults
+// added, and what is wrong with it is found where it stands.
+func TestInlineScript(t *testing.T) {
+	e, err := Parse("a.toml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan, err := e.Plan(3, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var script strings.Builder
+	if err := plan.Script.Write(&script); err != nil {
+		t.Fatal(err)
+	}
+	tables := regexp.MustCompile(`(?m)^(\[+)`).ReplaceAllString(script.String(), "${1}script.")
+	text := "name = 'two'\nshows = 'it'\nshort = 0.5\n[[fault]]\nkind = 'slow'\nat = '2s'\nfor = '4s'\nfactor = 3\n" +
+		"peers = ['p02']\n[script]\n" + tables
+	two, err := Parse("b.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := two.Plan(two.Seed, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	short, err := two.Plan(two.Seed, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := plan.Script.Faults
+	if two.Seed != 3 || len(whole.Script.Faults) != len(own)+1 || whole.Script.Faults[0].At != own[0].At ||
+		short.Script.Faults[0].At != own[0].At/2 || short.Script.World.Rogues[0].From*2 != whole.Script.World.Rogues[0].From {
+		t.Errorf("%+v, short %+v", whole.Script.Faults, short.Script.Faults)
+	}
+	for old, want := range map[string]string{
+		"peers = ['p02']": "fault[0].peers[0]: no such peer", "kind = 'death'": "script.fault[0].kind: no such kind",
+	} {
+		i := strings.Index(text, old)
+		bad := text[:i] + strings.Replace(strings.Replace(old, "p02", "p88", 1), "death", "dearth", 1) + text[i+len(old):]
+		at := fmt.Sprintf("b.toml:%d: %s", 1+strings.Count(text[:i], "\n"), want)
+		if _, err := Parse("b.toml", []byte(bad)); err == nil || !strings.HasPrefix(err.Error(), at) {
+			t.Errorf("%v, want %s", err, at)
+		}
+	}
+}
--- a/internal/lab/experiment/record.go
+++ b/internal/lab/experiment/record.go
@@ -234,7 +234,9 @@
 
 // at is a sum that grows, at an instant between readings.
 func (r *recorder) at(t time.Duration, sum func(*sample.Reading) float64) float64 {
-	i, _ := slices.BinarySearchFunc(r.reads, t, func(one sample.Reading, t time.Duration) int { return cmp.Compare(one.At, t) })
+	i, _ := slices.BinarySearchFunc(r.reads, t, func(one sample.Reading, t time.Duration) int {
+		return cmp.Compare(one.At, t)
+	})
 	switch i {
 	case 0:
 		return 0
@@ -289,7 +291,8 @@
 // held is how much a peer held in each second, in the mean; report.Down where
 // it did not run at all.
 func (r *recorder) held(place int) []float64 {
-	sums, counts, ups := make([]float64, len(r.seconds)), make([]int, len(r.seconds)), make([]int, len(r.seconds))
+	n := len(r.seconds)
+	sums, counts, ups := make([]float64, n), make([]int, n), make([]int, n)
 	for _, one := range r.reads {
 		i := int(one.At / time.Second)
 		if i >= len(r.seconds) || place >= len(one.Peers) {
@@ -319,7 +322,8 @@
 func bands(s *fault.Script) (all []report.Band) {
 	for i := range s.Faults {
 		f := &s.Faults[i]
-		all = append(all, report.Band{Kind: f.Kind, From: f.At.D().Seconds(), To: f.Ends().D().Seconds(), Note: about(f)})
+		from, to := f.At.D().Seconds(), f.Ends().D().Seconds()
+		all = append(all, report.Band{Kind: f.Kind, From: from, To: to, Note: about(f)})
 	}
 	kinds, from, to := 0, time.Duration(0), time.Duration(0)
 	for i, g := range s.World.Rogues {
--- a/internal/lab/experiment/run_test.go
+++ b/internal/lab/experiment/run_test.go
@@ -50,7 +50,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if e.Name != strings.TrimSuffix(filepath.Base(file), ".toml") || len(r.Checks) < 3 || r.Verdict != report.Passed {
+			name := strings.TrimSuffix(filepath.Base(file), ".toml")
+			if e.Name != name || len(r.Checks) < 3 || r.Verdict != report.Passed {
 				var text strings.Builder
 				r.WriteText(&text)
 				t.Error(text.String())
@@ -65,8 +66,9 @@
 func (o told) Run(_ context.Context, s *fault.Script, to sample.Sink) (Played, error) {
 	for at := time.Duration(0); at <= s.Length.D(); at += 250 * time.Millisecond {
 		r := sample.Reading{At: at}
-		for i, p := range s.World.Peers { // each second 8 tries come to each, and the first is down for the first two seconds
-			r.Peers = append(r.Peers, sample.Peer{Name: p.Name, Held: i, Down: i == 0 && at < 2*time.Second, Arrived: int(8 * at / time.Second)})
+		for i, p := range s.World.Peers { // 8 tries a second come to each; the first is down at the beginning
+			down := i == 0 && at < 2*time.Second
+			r.Peers = append(r.Peers, sample.Peer{Name: p.Name, Held: i, Down: down, Arrived: int(8 * at / time.Second)})
 		}
 		r.Nodes = []sample.Node{{Name: "n1", CPU: at / 100}}
 		to.Reading(r)
@@ -91,7 +93,9 @@
 	ms := time.Millisecond
 	var all told
 	add := func(due, begun, ended time.Duration, o sample.Outcome, class string) {
-		all = append(all, sample.Request{Class: class, Tenant: "ashby-dental", Due: due, Begun: begun, Ended: ended, Outcome: o, Tries: 1})
+		all = append(all, sample.Request{
+			Class: class, Tenant: "ashby-dental", Due: due, Begun: begun, Ended: ended, Outcome: o, Tries: 1,
+		})
 	}
 	for i := range time.Duration(96) { // quote is worth 1, within 200 ms
 		at := 3*time.Second + i*ms
@@ -115,9 +119,12 @@
 		{"worth", "calm", report.Part{}, 0.96}, {"worth", Whole, report.Part{}, 96.0 / 110},
 		{"served", "calm", report.Part{Class: "quote"}, 0.96}, {"late", "calm", report.Part{}, 0.01},
 		{"refused", "calm", report.Part{}, 0.01}, {"failed", "calm", report.Part{}, 0.01},
-		{"failed", Whole, report.Part{Class: "order-confirm"}, 1}, {"worth", "calm", report.Part{Tenant: "ashby-dental"}, 0.96},
-		{"unanswered", "calm", report.Part{}, 0.01}, {"p50", "calm", report.Part{}, 50}, {"p999", "calm", report.Part{}, 600},
-		{"tries", "calm", report.Part{}, 8 * 8 * float64(len(plan.Script.World.Peers)) / 101}, {"cpu", "calm", report.Part{}, 80.0 / 101},
+		{"failed", Whole, report.Part{Class: "order-confirm"}, 1},
+		{"worth", "calm", report.Part{Tenant: "ashby-dental"}, 0.96},
+		{"unanswered", "calm", report.Part{}, 0.01},
+		{"p50", "calm", report.Part{}, 50}, {"p999", "calm", report.Part{}, 600},
+		{"tries", "calm", report.Part{}, 8 * 8 * float64(len(plan.Script.World.Peers)) / 101},
+		{"cpu", "calm", report.Part{}, 80.0 / 101},
 	} {
 		got, ok := r.Figure(c.what, c.phase, c.of)
 		if !ok || got < c.want*0.998 || got > c.want*1.002 {
@@ -153,7 +160,10 @@
 			if i < c.late {
 				lag = 120 * time.Millisecond
 			}
-			all = append(all, sample.Request{Class: "quote", Tenant: "ashby-dental", Due: at, Begun: at + lag, Ended: at + lag + 10*time.Millisecond, Outcome: sample.Served})
+			all = append(all, sample.Request{
+				Class: "quote", Tenant: "ashby-dental", Outcome: sample.Served,
+				Due: at, Begun: at + lag, Ended: at + lag + 10*time.Millisecond,
+			})
 		}
 		r, err := plan.Run(t.Context(), all, nil)
 		if err != nil {
--- a/internal/lab/report/chart.go
+++ b/internal/lab/report/chart.go
@@ -72,9 +72,10 @@
 	high := end + 40
 	body := c.b.String()
 	c.b.Reset()
+	label := escape(r.Name + ": worth, requests, latency and peers over time")
 	fmt.Fprintf(&c.b, `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 %s %s" width="%s" height="%s" `+
 		`font-family="system-ui, Helvetica, Arial, sans-serif" font-size="11" fill="%s" role="img" aria-label="%s">`+"\n",
-		place(wide), place(high), place(wide), place(high), ink, escape(r.Name+": worth, requests, latency and peers over time"))
+		place(wide), place(high), place(wide), place(high), ink, label)
 	c.rect(0, 0, wide, high, blank, "", "")
 	c.faults(lanes, begin, end)
 	c.phases(names, begin, end)
@@ -101,7 +102,8 @@
 		c.rect(from, begin, long, end-begin, shade, `fill-opacity="0.06"`, "")
 		c.rect(from, at, long, lane-3, shade, `fill-opacity="0.55"`, tip)
 		c.text(point{plotRight + 10, at + 9}, "start", `font-size="10"`, label)
-		c.line(point{from + long, at + lane/2 - 1.5}, point{plotRight + 6, at + lane/2 - 1.5}, rule, `stroke-dasharray="1 3"`)
+		middle := at + lane/2 - 1.5
+		c.line(point{from + long, middle}, point{plotRight + 6, middle}, rule, `stroke-dasharray="1 3"`)
 	}
 }
 
--- a/internal/lab/report/text.go
+++ b/internal/lab/report/text.go
@@ -33,7 +33,8 @@
 	for _, b := range r.Broken {
 		fmt.Fprintln(w, "broken:", b)
 	}
-	fmt.Fprintf(w, "load tool late: 99%% of requests by at most %s, the latest by %s\n", millis(r.Lateness.P99), millis(r.Lateness.Max))
+	fmt.Fprintf(w, "load tool late: 99%% of requests by at most %s, the latest by %s\n",
+		millis(r.Lateness.P99), millis(r.Lateness.Max))
 	fmt.Fprintln(w, r.Conclusion())
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("writing the report: %w", err)
@@ -80,7 +81,8 @@
 			if j > 0 {
 				name = ""
 			}
-			t = append(t, []string{name, cmp.Or(f.Class, f.Tenant, "all"), strconv.Itoa(f.Asked), fmt.Sprintf("%.3f", f.Worth),
+			t = append(t, []string{name, cmp.Or(f.Class, f.Tenant, "all"),
+				strconv.Itoa(f.Asked), fmt.Sprintf("%.3f", f.Worth),
 				percent(f.Share(f.Late)), percent(f.Share(f.Refused)), percent(f.Share(f.Failed)),
 				percent(f.Share(f.Unanswered)), millis(f.P50), millis(f.P90), millis(f.P99), millis(f.P999),
 				number(f.Tries, "%.2f"), number(f.CPU, "%.3fms")})
