--- a/cmd/olivelab/main_test.go
+++ b/cmd/olivelab/main_test.go
@@ -13,11 +13,18 @@
 	"olivebridge/internal/lab/campaign/campaigntest"
 )
 
+// worldEnv makes workers play the lab's own world in place of the toy.
+const worldEnv = "OLIVELAB_TEST_WORLD"
+
 // The test binary is its own worker, on the toy's sources, and the program that up runs in.
 func TestMain(m *testing.M) {
 	switch {
 	case len(os.Args) == 2 && os.Args[1] == "worker":
-		os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr, campaigntest.Sources()))
+		s := campaigntest.Sources()
+		if os.Getenv(worldEnv) != "" {
+			s = sources()
+		}
+		os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr, s))
 	case len(os.Args) > 1 && os.Args[1] == "up":
 		main()
 	}
--- a/internal/lab/campaign/worker.go
+++ b/internal/lab/campaign/worker.go
@@ -97,13 +97,18 @@
 		return reply{ID: j.ID, Error: err.Error()}
 	}
 	var trace io.Writer
-	if j.Trace {
+	if j.Trace || j.Watch {
 		trace = os.NewFile(traceFile, "trace")
 	}
 	player := w.sources.Play
 	if j.Log {
 		player = w.sources.Logged(os.Stderr)
 	}
+	if j.Watch {
+		if player = w.sources.Watched; player == nil {
+			return reply{ID: j.ID, Error: "this worker tells nothing of its runs"}
+		}
+	}
 	var result *stage.Result
 	whole := t.Run("run", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
