Give each call beside another to discovery a client of its own

When calls that were still dialing were given up together, http.Transport called off one dial with its call and the other only as the watch ended, whichever came first. Change: a call beside another has its own transport, closed with it.

--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -47,9 +47,9 @@
 type Watch struct {
 	addr    string
 	names   protocol.Names
-	client  *http.Client // for one call at a time
-	others  *http.Client // for those beside it: each on a connection of its own
-	version int64        // of the list held; -1: none
+	client  *http.Client        // for one call at a time
+	other   func() *http.Client // for each one beside it, which has its connection to itself
+	version int64               // of the list held; -1: none
 	wait    time.Duration
 	late    time.Duration
 	beside  time.Duration
@@ -69,15 +69,16 @@
 		}
 		return &peerConn{Conn: conn, life: newLife(log, "discovery", addr, func() {})}, nil
 	}
-	// http.Transport may give a connection that falls idle to a call that is being given up
+	// http.Transport may give a connection that falls idle, or one that comes up, to a call that is being given up
 	client := func(once bool) *http.Client {
 		return &http.Client{
 			Transport:     &http.Transport{DialContext: connect, DisableCompression: true, DisableKeepAlives: once},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
-	return &Watch{addr: addr, names: names, client: client(false), others: client(true), version: version,
-		wait: watchWait, late: watchLate, beside: watchBeside, slack: watchSlack, again: watchAgain}
+	return &Watch{addr: addr, names: names, client: client(false), version: version,
+		other: func() *http.Client { return client(true) },
+		wait:  watchWait, late: watchLate, beside: watchBeside, slack: watchSlack, again: watchAgain}
 }
 
 // Among sets how long discovery may hold a call by how many nodes ask it, and returns the watch.
@@ -93,8 +94,7 @@
 // question. One that no call brought an answer to ends the watch, and its
 // connections with it.
 func (w *Watch) Watch(ctx context.Context, told func(routing.Group)) error {
-	defer w.others.CloseIdleConnections() // and what is still dialed, for a call that was given up
-	defer w.client.CloseIdleConnections()
+	defer w.client.CloseIdleConnections() // and what is still dialed, for a call that was given up
 	for {
 		g, version, err := w.ask(ctx)
 		if err != nil {
@@ -131,7 +131,7 @@
 			}
 			client, wait, late := w.client, w.wait, w.wait+w.late
 			if out > 0 {
-				client, wait, late = w.others, 0, w.beside
+				client, wait, late = w.other(), 0, w.beside
 			}
 			begun, out = begun+1, out+1
 			next.Reset(late)
@@ -156,6 +156,9 @@
 
 // call asks once: for what is newer than the version held, or for the whole list.
 func (w *Watch) call(ctx context.Context, client *http.Client, since int64, wait time.Duration) outcome {
+	if client != w.client {
+		defer client.CloseIdleConnections()
+	}
 	data, err := w.fetch(ctx, client, since, wait)
 	if err != nil {
 		err = fmt.Errorf("upstream group: %w", err)
