Meter the path of a request next to httputil.ReverseProxy: olivelab path

Nobody could say what a request costs the node, nor check that a change makes it cheaper. The new command starts a real node and a ReverseProxy in turn between stand-in peers and a lean load, and reports allocations, bytes, read and write calls and processor time per request.

--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"olivebridge/internal/cost"
 	"olivebridge/internal/node"
 	"olivebridge/internal/protocol"
 )
@@ -40,7 +41,9 @@
 	if err != nil {
 		return err
 	}
-	counters := func(when string) { log.Info("counters", append([]any{"when", when}, n.Counters()...)...) }
+	counters := func(when string) {
+		log.Info("counters", append([]any{"when", when, "process", cost.Now().String()}, n.Counters()...)...)
+	}
 	var drained chan struct{} // closed once nothing is open; nil before SIGTERM
 	for {
 		select {
--- /dev/null
+++ b/internal/lab/path/child.go
@@ -0,0 +1,151 @@
+package path
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"time"
+
+	"olivebridge/internal/cost"
+	"olivebridge/internal/protocol"
+)
+
+// memoryMB is the memory of the machine that a node is told of.
+const memoryMB = 192
+
+// configuration is a node's. Aims are so long that a machine busy with other things changes no decision.
+const configuration = `{"name":"n0","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":%d,"sockets":2048},
+"known":%s,
+"settings":{"classes":[{"name":"read","aim":5000000000,"deadline":9000000000,"gain":2,"idempotency":"pure"},
+{"name":"write","aim":5000000000,"deadline":9000000000,"gain":2,"idempotency":"side_effect"}],
+"contract":{"ask_every":10000000000,"cold":20000000000,"cold_share":0.14,"drain_grace":2500000000,
+"fall":3000000000,"overload_factor":2.5},
+"discovery":"subscribe","limits":{"cancel":true,"connect_timeout":1000000000,"idle_close":60000000000,
+"max_retry_after":1500000000,"probes":false,"retry_after":true,"second_copies":true,"try_limit":4},
+"n_instances":1,"kinds":["m1"],"tenants":[{"name":"acme","share":1}],"weights":"nominal",
+"worth_by":"request","zone":0,"zones":["a"]}}`
+
+// child is a process under the meter: a node, or what stands next to it.
+type child struct {
+	cmd    *exec.Cmd
+	addr   string
+	lines  chan string // of its log; closed at its end
+	extras []string    // what it wrote besides, for the error of an early end
+}
+
+// startup is how long a child may take to start or to answer a signal.
+const startup = 20 * time.Second
+
+// startNode starts a node in front of peers. Its configuration goes to dir.
+func startNode(ctx context.Context, program, dir string, peers []string, discovery string, env ...string) (*child, error) {
+	file := filepath.Join(dir, "node.json")
+	if err := os.WriteFile(file, fmt.Appendf(nil, configuration, memoryMB, group(peers)), 0o600); err != nil {
+		return nil, fmt.Errorf("the node's configuration: %w", err)
+	}
+	cmd := exec.CommandContext(ctx, program)
+	cmd.Env = append(os.Environ(), protocol.EnvName+"=n0", protocol.EnvListen+"=127.0.0.1:0",
+		protocol.EnvDiscovery+"="+discovery, protocol.EnvConfig+"="+file)
+	cmd.Env = append(cmd.Env, env...)
+	return start(cmd)
+}
+
+// startProxy starts what the node stands next to: a program that calls ServeProxy.
+func startProxy(ctx context.Context, command, peers []string) (*child, error) {
+	args := append(append([]string{}, command[1:]...), peers...)
+	return start(exec.CommandContext(ctx, command[0], args...))
+}
+
+var listening = regexp.MustCompile(`msg=started .*listen=(\S+)|msg=started listen=(\S+)`)
+
+// start runs a child on one Go processor and waits until it listens.
+func start(cmd *exec.Cmd) (*child, error) {
+	if cmd.Env == nil {
+		cmd.Env = os.Environ()
+	}
+	cmd.Env = append(cmd.Env, "GOMAXPROCS=1", "GOTRACEBACK=single")
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		return nil, fmt.Errorf("starting %s: %w", cmd.Path, err)
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("starting %s: %w", cmd.Path, err)
+	}
+	c := &child{cmd: cmd, lines: make(chan string, 64)}
+	go c.read(out)
+	m, err := c.until(listening)
+	if err != nil {
+		c.end()
+		return nil, err
+	}
+	c.addr = m[1] + m[2]
+	return c, nil
+}
+
+// read passes on the lines that the meter may wait for. Others would fill the channel.
+func (c *child) read(out io.Reader) {
+	defer close(c.lines)
+	in := bufio.NewScanner(out)
+	in.Buffer(nil, 1<<20)
+	for in.Scan() {
+		if line := in.Text(); !strings.Contains(line, "connection ended") {
+			c.lines <- line
+		}
+	}
+	io.Copy(io.Discard, out)
+}
+
+// until waits for a line of the child's log.
+func (c *child) until(form *regexp.Regexp) ([]string, error) {
+	late := time.After(startup)
+	for {
+		select {
+		case line, ok := <-c.lines:
+			if !ok {
+				return nil, fmt.Errorf("%s ended early: %s", filepath.Base(c.cmd.Path), strings.Join(c.extras, "; "))
+			}
+			if m := form.FindStringSubmatch(line); m != nil {
+				return m, nil
+			}
+			if len(c.extras) < 5 {
+				c.extras = append(c.extras, line)
+			}
+		case <-late:
+			return nil, fmt.Errorf("%s: no line %q within %v", filepath.Base(c.cmd.Path), form, startup)
+		}
+	}
+}
+
+var counted = regexp.MustCompile(`msg=counters when=asked process="([^"]*)"`)
+
+// cost asks the child what it has used up.
+func (c *child) cost() (cost.Used, error) {
+	if err := c.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
+		return cost.Used{}, fmt.Errorf("asking %s for its counters: %w", filepath.Base(c.cmd.Path), err)
+	}
+	m, err := c.until(counted)
+	if err != nil {
+		return cost.Used{}, err
+	}
+	return cost.Parse(m[1])
+}
+
+func (c *child) pid() int { return c.cmd.Process.Pid }
+
+// end kills the child, which has nothing to lose, and waits for its end.
+func (c *child) end() {
+	c.cmd.Process.Kill()
+	for range c.lines { // to its end
+	}
+	c.cmd.Wait()
+}
+
+// errRefused is a load that the child did not serve as it should.
+var errRefused = errors.New("not served")
--- /dev/null
+++ b/internal/lab/path/discovery.go
@@ -0,0 +1,62 @@
+package path
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"olivebridge/internal/protocol"
+)
+
+// discovery lists the peers and never has anything new.
+type discovery struct {
+	addr   string
+	server *http.Server
+	stop   context.CancelFunc
+}
+
+// group is the list of the peers, as discovery has it.
+func group(addresses []string) string {
+	var entries []string
+	for i, addr := range addresses {
+		entries = append(entries, fmt.Sprintf(
+			`{"id":"p-%02d","addr":%q,"zone":"a","kind":"m1","state":"Ready","weight":1,"started_ms":0}`, i, addr))
+	}
+	return `{"version":1,"full":true,"servers":[` + strings.Join(entries, ",") + `]}`
+}
+
+func startDiscovery(addresses []string) (*discovery, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	life, stop := context.WithCancel(context.Background())
+	list := group(addresses)
+	mux := http.NewServeMux()
+	mux.HandleFunc(protocol.PathGroup, func(w http.ResponseWriter, r *http.Request) {
+		if r.FormValue("after") == "" {
+			io.WriteString(w, list)
+			return
+		}
+		wait, _ := strconv.Atoi(r.FormValue("wait_ms")) // 0 answers at once
+		select {
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-life.Done():
+		case <-r.Context().Done():
+		}
+		io.WriteString(w, `{"version":1,"full":false,"servers":[]}`)
+	})
+	d := &discovery{addr: l.Addr().String(), server: &http.Server{Handler: mux}, stop: stop}
+	go d.server.Serve(l)
+	return d, nil
+}
+
+func (d *discovery) close() {
+	d.stop()
+	d.server.Close()
+}
--- /dev/null
+++ b/internal/lab/path/peers.go
@@ -0,0 +1,127 @@
+package path
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// peers are stand-ins for what a node passes requests to: each answers at once, and with the least work
+// that HTTP/1.1 allows, so that they slow nothing down.
+type peers struct {
+	listeners []net.Listener
+	serving   sync.WaitGroup
+	mu        sync.Mutex
+	open      map[net.Conn]bool
+	closed    bool
+}
+
+// Targets that the peers answer: how many bytes they send back.
+const (
+	targetSmall = "/small" // 64 bytes
+	targetLarge = "/large" // 64 KiB
+)
+
+var (
+	smallAnswer = answerOf(64)
+	largeAnswer = answerOf(64 << 10)
+)
+
+func answerOf(size int) []byte {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n", size)
+	return append([]byte(head), bytes.Repeat([]byte("0123456789abcdef"), size/16)...)
+}
+
+// startPeers listens on loopback.
+func startPeers(count int) (*peers, error) {
+	p := &peers{open: map[net.Conn]bool{}}
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			p.close()
+			return nil, fmt.Errorf("a peer: %w", err)
+		}
+		p.listeners = append(p.listeners, l)
+		p.serving.Go(func() { p.accept(l) })
+	}
+	return p, nil
+}
+
+func (p *peers) addresses() (some []string) {
+	for _, l := range p.listeners {
+		some = append(some, l.Addr().String())
+	}
+	return some
+}
+
+func (p *peers) accept(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return // closed
+		}
+		p.mu.Lock()
+		if p.closed {
+			p.mu.Unlock()
+			conn.Close()
+			return
+		}
+		p.open[conn] = true
+		p.mu.Unlock()
+		p.serving.Go(func() {
+			serve(conn)
+			conn.Close()
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			delete(p.open, conn)
+		})
+	}
+}
+
+// serve answers the requests of one connection to its end.
+func serve(conn net.Conn) {
+	in := bufio.NewReaderSize(conn, 16<<10)
+	for {
+		answer, length := smallAnswer, 0
+		for first := true; ; first = false {
+			line, err := in.ReadSlice('\n')
+			if err != nil {
+				return
+			}
+			if first && bytes.Contains(line, []byte(targetLarge)) {
+				answer = largeAnswer
+			}
+			if name, value, ok := bytes.Cut(line, []byte(":")); ok && len(name) == len("Content-Length") &&
+				strings.EqualFold(string(name), "Content-Length") {
+				length, _ = strconv.Atoi(string(bytes.TrimSpace(value))) // the sender is under test elsewhere
+			}
+			if len(line) <= 2 {
+				break
+			}
+		}
+		if _, err := in.Discard(length); err != nil {
+			return
+		}
+		if _, err := conn.Write(answer); err != nil {
+			return
+		}
+	}
+}
+
+// close ends the peers and waits until nothing is left of them.
+func (p *peers) close() {
+	for _, l := range p.listeners {
+		l.Close()
+	}
+	p.mu.Lock()
+	p.closed = true
+	for conn := range p.open {
+		conn.Close()
+	}
+	p.mu.Unlock()
+	p.serving.Wait()
+}
--- /dev/null
+++ b/internal/lab/path/proxy.go
@@ -0,0 +1,62 @@
+package path
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"olivebridge/internal/cost"
+)
+
+// ServeProxy is what a node's processor time stands next to: httputil.ReverseProxy on http.Transport, which
+// decides nothing but sends to one peer after the other. It has the node's bounds on memory and its timeouts,
+// keeps as many connections as it wants, and writes the same line at SIGUSR1. It serves until ctx ends.
+func ServeProxy(ctx context.Context, peers []string, out io.Writer) error {
+	debug.SetMemoryLimit(memoryMB << 20 * 7 / 10)
+	debug.SetGCPercent(400)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	asked := make(chan os.Signal, 4)
+	signal.Notify(asked, syscall.SIGUSR1)
+	defer signal.Stop(asked)
+	var next atomic.Uint64
+	server := &http.Server{
+		ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 30 * time.Second,
+		ErrorLog: log.New(out, "", 0),
+		Handler: &httputil.ReverseProxy{
+			Rewrite: func(r *httputil.ProxyRequest) {
+				r.Out.URL.Scheme, r.Out.URL.Host = "http", peers[next.Add(1)%uint64(len(peers))]
+			},
+			Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true},
+			ErrorLog:  log.New(out, "", 0),
+		},
+	}
+	fmt.Fprintf(out, "msg=started listen=%s\n", l.Addr())
+	go func() {
+		for {
+			select {
+			case <-asked:
+				fmt.Fprintf(out, "msg=counters when=asked process=%q\n", cost.Now())
+			case <-ctx.Done():
+				server.Close()
+				return
+			}
+		}
+	}()
+	if err := server.Serve(l); ctx.Err() == nil {
+		return fmt.Errorf("proxy: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/path/report.go
@@ -0,0 +1,109 @@
+package path
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+)
+
+// Report is what the meter found.
+type Report struct {
+	Go    string    `json:"go"`
+	Short bool      `json:"short"`
+	Loads []Figures `json:"loads"`
+}
+
+// Figures are what one load costs, per request.
+type Figures struct {
+	Load     string    `json:"load"`
+	About    string    `json:"about"`
+	Requests int       `json:"requests"` // counted, per pair
+	Node     Process   `json:"node"`
+	Proxy    Process   `json:"reverse_proxy"`
+	Ratio    float64   `json:"ratio"` // of processor time: the median of the pairs'
+	Ratios   []float64 `json:"ratios"`
+}
+
+// Process are the figures of one process, per request: each the median of the pairs.
+type Process struct {
+	Allocations    float64 `json:"allocations"`
+	AllocatedBytes float64 `json:"allocated_bytes"`
+	Collections    float64 `json:"collections_per_1000"`
+	Reads          float64 `json:"reads"`  // calls of the read family
+	Writes         float64 `json:"writes"` // calls of the write family
+	ReadBytes      float64 `json:"read_bytes"`
+	WrittenBytes   float64 `json:"written_bytes"`
+	Waited         float64 `json:"switches_waiting"`
+	Preempted      float64 `json:"switches_preempted"`
+	UserMicros     float64 `json:"user_us"`
+	SystemMicros   float64 `json:"system_us"`
+	Micros         float64 `json:"processor_us"`
+}
+
+// median takes the middle of some values, by a field of theirs.
+func median[T any](some []T, of func(T) float64) float64 {
+	values := make([]float64, len(some))
+	for i, s := range some {
+		values[i] = of(s)
+	}
+	slices.SortFunc(values, cmp.Compare)
+	switch n := len(values); {
+	case n == 0:
+		return 0
+	case n%2 == 1:
+		return values[n/2]
+	default:
+		return (values[n/2-1] + values[n/2]) / 2
+	}
+}
+
+func medians(some []Process) Process {
+	m := func(of func(Process) float64) float64 { return median(some, of) }
+	return Process{
+		Allocations:    m(func(p Process) float64 { return p.Allocations }),
+		AllocatedBytes: m(func(p Process) float64 { return p.AllocatedBytes }),
+		Collections:    m(func(p Process) float64 { return p.Collections }),
+		Reads:          m(func(p Process) float64 { return p.Reads }),
+		Writes:         m(func(p Process) float64 { return p.Writes }),
+		ReadBytes:      m(func(p Process) float64 { return p.ReadBytes }),
+		WrittenBytes:   m(func(p Process) float64 { return p.WrittenBytes }),
+		Waited:         m(func(p Process) float64 { return p.Waited }),
+		Preempted:      m(func(p Process) float64 { return p.Preempted }),
+		UserMicros:     m(func(p Process) float64 { return p.UserMicros }),
+		SystemMicros:   m(func(p Process) float64 { return p.SystemMicros }),
+		Micros:         m(func(p Process) float64 { return p.Micros }),
+	}
+}
+
+// JSON writes the report for programs.
+func (r *Report) JSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+// Text writes the report for readers.
+func (r *Report) Text(w io.Writer) {
+	for _, f := range r.Loads {
+		fmt.Fprintf(w, "%s: %s, %d requests\n", f.Load, f.About, f.Requests)
+		fmt.Fprintf(w, "  %-24s %12s %14s\n", "per request", "olivebridge", "ReverseProxy")
+		row := func(name, form string, a, b float64) {
+			fmt.Fprintf(w, "  %-24s %12s %14s\n", name, fmt.Sprintf(form, a), fmt.Sprintf(form, b))
+		}
+		n, p := f.Node, f.Proxy
+		row("allocations", "%.1f", n.Allocations, p.Allocations)
+		row("bytes allocated", "%.0f", n.AllocatedBytes, p.AllocatedBytes)
+		row("collections, per 1000", "%.2f", n.Collections, p.Collections)
+		row("read calls", "%.2f", n.Reads, p.Reads)
+		row("write calls", "%.2f", n.Writes, p.Writes)
+		row("bytes read", "%.0f", n.ReadBytes, p.ReadBytes)
+		row("bytes written", "%.0f", n.WrittenBytes, p.WrittenBytes)
+		row("waits", "%.2f", n.Waited, p.Waited)
+		row("processor us, user", "%.1f", n.UserMicros, p.UserMicros)
+		row("processor us, system", "%.1f", n.SystemMicros, p.SystemMicros)
+		row("processor us", "%.1f", n.Micros, p.Micros)
+		fmt.Fprintf(w, "  processor time, of ReverseProxy's: %.3f (pairs: %.3f)\n\n", f.Ratio, f.Ratios)
+	}
+}
