Count system calls, copies and allocations by function on the path

A count that rises must say where. System calls and copies between buffers are counted by a tracer of the child's threads (copies at the entry of memmove), allocations by a profile that nodes built with the tag meter write; each falls to a function of the node.

--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -42,6 +42,9 @@
 		return err
 	}
 	counters := func(when string) {
+		if err := writeProfile(); err != nil {
+			log.Error("allocations not written", "reason", err.Error())
+		}
 		log.Info("counters", append([]any{"when", when, "process", cost.Now().String()}, n.Counters()...)...)
 	}
 	var drained chan struct{} // closed once nothing is open; nil before SIGTERM
--- a/internal/lab/path/child.go
+++ b/internal/lab/path/child.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -39,6 +40,7 @@
 	addr   string
 	lines  chan string // of its log; closed at its end
 	extras []string    // what it wrote besides, for the error of an early end
+	ended  sync.Once
 }
 
 // startup is how long a child may take to start or to answer a signal.
@@ -141,10 +143,12 @@
 
 // end kills the child, which has nothing to lose, and waits for its end.
 func (c *child) end() {
-	c.cmd.Process.Kill()
-	for range c.lines { // to its end
-	}
-	c.cmd.Wait()
+	c.ended.Do(func() {
+		c.cmd.Process.Kill()
+		for range c.lines { // to its end
+		}
+		c.cmd.Wait() // by a signal, and a tracer may have heard of it first
+	})
 }
 
 // errRefused is a load that the child did not serve as it should.
--- /dev/null
+++ b/internal/lab/path/count_allocations.go
@@ -0,0 +1,78 @@
+package path
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// profileTag is the build tag of a node that writes its allocations, and profileVariable names the file.
+const (
+	profileTag      = "meter"
+	profileVariable = "OLIVEBRIDGE_ALLOCATIONS"
+)
+
+// errNoProfile says that a node does not write its allocations.
+var errNoProfile = errors.New("the node was built without the tag " + profileTag)
+
+// allocators counts, per request, what is allocated for which function.
+func (m *meter) allocators(ctx context.Context, l Load, program string) ([]Place, error) {
+	file := filepath.Join(m.dir, "allocations")
+	c, err := m.node(ctx, program, "GODEBUG=memprofilerate=1", profileVariable+"="+file)
+	if err != nil {
+		return nil, err
+	}
+	defer c.end()
+	d := newDriver(l, c.addr, &m.ids)
+	defer d.close()
+	s := m.sizes()
+	if err := m.drive(ctx, d, s.warm); err != nil {
+		return nil, err
+	}
+	before, err := readAllocations(c, file)
+	if err != nil {
+		return nil, err
+	}
+	if err := m.drive(ctx, d, s.profiled); err != nil {
+		return nil, err
+	}
+	after, err := readAllocations(c, file)
+	if err != nil {
+		return nil, err
+	}
+	return places(after, before, s.profiled), nil
+}
+
+// readAllocations asks a node for the allocations since its start, by function.
+func readAllocations(c *child, file string) (map[string]count, error) {
+	if _, err := c.cost(); err != nil { // the file is whole by then
+		return nil, err
+	}
+	text, err := os.ReadFile(file)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, errNoProfile
+	}
+	if err != nil {
+		return nil, fmt.Errorf("allocations: %w", err)
+	}
+	sum := map[string]count{}
+	for line := range strings.Lines(string(text)) {
+		words := strings.Fields(line)
+		if len(words) != 3 {
+			return nil, fmt.Errorf("allocations: not a line: %.80q", line)
+		}
+		objects, err1 := strconv.ParseFloat(words[0], 64)
+		size, err2 := strconv.ParseFloat(words[1], 64)
+		if err := errors.Join(err1, err2); err != nil {
+			return nil, fmt.Errorf("allocations: not a line: %.80q", line)
+		}
+		f := blame(strings.Split(strings.Trim(words[2], ";"), ";"))
+		sum[f] = count{sum[f].n + objects, sum[f].sum + size}
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/internal/lab/path/count_calls_linux.go
@@ -0,0 +1,227 @@
+package path
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"unsafe"
+)
+
+// Parts of ptrace(2) that package syscall does not name.
+const (
+	ptraceSeize       = 0x4206
+	ptraceInterrupt   = 0x4207
+	ptraceSyscallInfo = 0x420e
+	noThread          = 0x20000000 // wait4: for what this thread traces, not for other children
+	syscallStop       = syscall.SIGTRAP | 0x80
+	killAtExit        = 0x100000 // option: nothing traced is left behind
+)
+
+// tracer counts what the threads of a child do: system calls, or copies between buffers. It stops the
+// threads at each, which makes them slow and changes no count but those that hang on time. Linux allows it
+// an ordinary user towards his own children.
+type tracer struct {
+	pid    int
+	mem    *os.File // of the child
+	stacks *stacks  // nil: functions are not known
+	copies bool     // rather than system calls
+	done   chan struct{}
+
+	mu      sync.Mutex
+	counted tally
+	calls   map[int]callInfo // the call that a thread is in; of the tracing thread alone
+}
+
+type callInfo struct{ name, function string }
+
+// trace begins to count in all threads of a child, which must end before long: the tracer ends with it.
+func trace(pid int, s *stacks, copies bool) (*tracer, error) {
+	t := &tracer{pid: pid, stacks: s, copies: copies, done: make(chan struct{}), counted: newTally(),
+		calls: map[int]callInfo{}}
+	mem, err := os.OpenFile(fmt.Sprintf("/proc/%d/mem", pid), os.O_RDWR, 0)
+	if err != nil {
+		return nil, fmt.Errorf("tracing: %w", err)
+	}
+	t.mem = mem
+	ready := make(chan error, 1)
+	go func() {
+		defer mem.Close()
+		runtime.LockOSThread() // ptrace belongs to a thread; this one ends with the goroutine
+		defer close(t.done)
+		err := t.attach()
+		ready <- err
+		if err == nil {
+			t.run()
+		}
+	}()
+	if err := <-ready; err != nil {
+		return nil, fmt.Errorf("tracing: %w", err)
+	}
+	return t, nil
+}
+
+// snapshot is what was counted so far.
+func (t *tracer) snapshot() tally {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := newTally()
+	maps.Copy(s.calls, t.counted.calls)
+	maps.Copy(s.writers, t.counted.writers)
+	maps.Copy(s.copiers, t.counted.copiers)
+	return s
+}
+
+// attach takes hold of all threads there are; those to come are held as they are made.
+func (t *tracer) attach() error {
+	held := map[int]bool{}
+	for more := true; more; {
+		more = false
+		threads, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", t.pid))
+		if err != nil {
+			return err
+		}
+		for _, entry := range threads {
+			tid, err := strconv.Atoi(entry.Name())
+			if err != nil || held[tid] {
+				continue
+			}
+			held[tid], more = true, true
+			const options = syscall.PTRACE_O_TRACESYSGOOD | syscall.PTRACE_O_TRACECLONE | killAtExit
+			err = ptrace(ptraceSeize, tid, 0, options)
+			switch {
+			case errors.Is(err, syscall.ESRCH): // it has ended
+			case errors.Is(err, syscall.EPERM) && len(held) > 1: // held since it was made
+			case err != nil:
+				return err
+			default:
+				ptrace(ptraceInterrupt, tid, 0, 0) // fails only if it has ended
+			}
+		}
+	}
+	if t.copies {
+		return t.breakAtCopies()
+	}
+	return nil
+}
+
+// run serves the stops of the threads until none is left.
+func (t *tracer) run() {
+	resume := syscall.PTRACE_SYSCALL
+	if t.copies {
+		resume = syscall.PTRACE_CONT
+	}
+	for {
+		var status syscall.WaitStatus
+		tid, err := syscall.Wait4(-1, &status, syscall.WALL|noThread, nil)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err != nil:
+			return
+		case !status.Stopped():
+			continue
+		}
+		deliver := 0
+		switch signal, event := status.StopSignal(), int(status)>>16; {
+		case signal == syscallStop:
+			t.call(tid)
+		case event != 0: // interrupted, or a new thread
+		case signal == syscall.SIGTRAP && t.copies && t.copied(tid):
+		default:
+			deliver = int(signal)
+		}
+		ptrace(resume, tid, 0, uintptr(deliver)) // fails only if it has been killed
+	}
+}
+
+// callState is the kernel's struct ptrace_syscall_info.
+type callState struct {
+	op     uint8 // 1: a call begins, 2: it has ended
+	_      [3]uint8
+	_      uint32
+	ip, sp uint64
+	first  uint64 // the call's number, or its result
+	args   [8]uint64
+}
+
+// call notes that a thread enters or leaves a system call.
+func (t *tracer) call(tid int) {
+	var s callState
+	err := ptrace(ptraceSyscallInfo, tid, unsafe.Sizeof(s), uintptr(unsafe.Pointer(&s)))
+	switch {
+	case err != nil:
+	case s.op == 1:
+		t.calls[tid] = t.enter(tid, s)
+	case s.op == 2:
+		in, ok := t.calls[tid]
+		if !ok { // it was in the call when the tracing began
+			return
+		}
+		delete(t.calls, tid)
+		empty := 0.0
+		if syscall.Errno(-int64(s.first)) == syscall.EAGAIN {
+			empty = 1
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		add(t.counted.calls, in.name, empty)
+		if in.function != "" {
+			add(t.counted.writers, in.function, empty)
+		}
+	}
+}
+
+func add(to map[string]count, name string, sum float64) {
+	c := to[name]
+	to[name] = count{c.n + 1, c.sum + sum}
+}
+
+// enter names a call by its number and, where it matters, by the kind of its file.
+func (t *tracer) enter(tid int, s callState) callInfo {
+	name, ok := callNames[s.first]
+	if !ok {
+		name = fmt.Sprintf("call %d", s.first)
+	}
+	switch s.first {
+	case syscall.SYS_READ, syscall.SYS_WRITE, syscall.SYS_WRITEV, syscall.SYS_READV:
+		file, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", t.pid, s.args[0]))
+		kind, _, _ := strings.Cut(file, ":[")
+		name += " " + cmp.Or(strings.TrimPrefix(kind, "anon_inode:"), "file")
+	}
+	function := ""
+	if isSocketWrite(name) {
+		function = t.caller(tid)
+	}
+	return callInfo{name, function}
+}
+
+func ptrace(request, tid int, addr, data uintptr) error {
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_PTRACE, uintptr(request), uintptr(tid), addr, data, 0, 0)
+	if errno != 0 {
+		return errno
+	}
+	return nil
+}
+
+// callNames are those that a node is known to make.
+var callNames = map[uint64]string{
+	syscall.SYS_READ: "read", syscall.SYS_WRITE: "write", syscall.SYS_READV: "readv", syscall.SYS_WRITEV: "writev",
+	syscall.SYS_RECVFROM: "recvfrom", syscall.SYS_SENDTO: "sendto", syscall.SYS_RECVMSG: "recvmsg",
+	syscall.SYS_SENDMSG: "sendmsg", syscall.SYS_SENDFILE: "sendfile", syscall.SYS_SPLICE: "splice",
+	syscall.SYS_SOCKET: "socket", syscall.SYS_CONNECT: "connect", syscall.SYS_ACCEPT4: "accept4",
+	syscall.SYS_GETSOCKOPT: "getsockopt", syscall.SYS_SETSOCKOPT: "setsockopt", syscall.SYS_SHUTDOWN: "shutdown",
+	syscall.SYS_GETSOCKNAME: "getsockname", syscall.SYS_GETPEERNAME: "getpeername", syscall.SYS_CLOSE: "close",
+	syscall.SYS_EPOLL_CTL: "epoll_ctl", syscall.SYS_EPOLL_PWAIT: "epoll_pwait", syscall.SYS_FUTEX: "futex",
+	syscall.SYS_NANOSLEEP: "nanosleep", syscall.SYS_SCHED_YIELD: "sched_yield", syscall.SYS_TGKILL: "tgkill",
+	syscall.SYS_RT_SIGRETURN: "rt_sigreturn", syscall.SYS_RT_SIGPROCMASK: "rt_sigprocmask",
+	syscall.SYS_SIGALTSTACK: "sigaltstack", syscall.SYS_GETPID: "getpid", syscall.SYS_CLONE: "clone",
+	syscall.SYS_MMAP: "mmap", syscall.SYS_MADVISE: "madvise", syscall.SYS_FCNTL: "fcntl",
+	syscall.SYS_TIMER_SETTIME: "timer_settime", syscall.SYS_GETRUSAGE: "getrusage",
+}
--- a/internal/lab/path/meter.go
+++ b/internal/lab/path/meter.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 )
 
@@ -28,19 +30,21 @@
 const peerCount = 12
 
 // sizes are how many requests a load has in each pass.
-type sizes struct{ warm, timed, traced int }
+type sizes struct{ warm, timed, traced, profiled int }
 
 func (o Options) sizes() sizes {
 	if o.Short {
-		return sizes{warm: 1500, timed: 3000, traced: 300}
+		return sizes{warm: 1500, timed: 3000, traced: 300, profiled: 1000}
 	}
-	return sizes{warm: 3000, timed: 20000, traced: 1000}
+	return sizes{warm: 3000, timed: 20000, traced: 1000, profiled: 5000}
 }
 
 // Meter is one measurement: its stand-ins, and where its files are.
 type meter struct {
 	Options
 	dir       string
+	profiled  string  // a node that writes its allocations; "": none
+	stacks    *stacks // nil: there are no symbols
 	peers     *peers
 	discovery *discovery
 	ids       ids
@@ -58,6 +62,13 @@
 		if m.Node, err = m.build(ctx, "node"); err != nil {
 			return nil, err
 		}
+		if m.profiled, err = m.build(ctx, "profiled-node", "-tags", profileTag); err != nil {
+			return nil, err
+		}
+	}
+	r := &Report{Go: runtime.Version(), Short: o.Short}
+	if m.stacks, err = readSymbols(m.Node); err != nil {
+		r.NotCounted = append(r.NotCounted, err.Error())
 	}
 	if m.peers, err = startPeers(peerCount); err != nil {
 		return nil, err
@@ -67,12 +78,20 @@
 		return nil, err
 	}
 	defer m.discovery.close()
-	r := &Report{Go: runtime.Version(), Short: o.Short}
 	for _, l := range Loads() {
 		f, err := m.pairs(ctx, l)
 		if err != nil {
 			return nil, err
 		}
+		missing, err := m.places(ctx, l, &f)
+		if err != nil {
+			return nil, err
+		}
+		for _, why := range missing {
+			if !slices.Contains(r.NotCounted, why.Error()) {
+				r.NotCounted = append(r.NotCounted, why.Error())
+			}
+		}
 		r.Loads = append(r.Loads, f)
 	}
 	return r, nil
@@ -126,6 +145,34 @@
 	return f, nil
 }
 
+// places counts what needs a slower node: system calls, copies, and which functions they and the
+// allocations fall to. What the machine does not let it count is missing, for a reason each.
+func (m *meter) places(ctx context.Context, l Load, f *Figures) (missing []error, err error) {
+	m.say("%s: system calls, copies, functions", l.Name)
+	miss := func(err error) error {
+		if ctx.Err() != nil || errors.Is(err, errRefused) {
+			return fmt.Errorf("node: %w", err)
+		}
+		if err != nil {
+			missing = append(missing, err)
+		}
+		return nil
+	}
+	f.Calls, f.Writers, _, err = m.traced(ctx, l, false)
+	if err := miss(err); err != nil {
+		return nil, err
+	}
+	_, _, f.Copiers, err = m.traced(ctx, l, true)
+	if err := miss(err); err != nil {
+		return nil, err
+	}
+	if m.profiled != "" {
+		f.Allocators, err = m.allocators(ctx, l, m.profiled)
+		return missing, miss(err)
+	}
+	return missing, nil
+}
+
 // plain measures a load on a child of its own, undisturbed.
 func (m *meter) plain(ctx context.Context, l Load, start func() (*child, error)) (p Process, err error) {
 	c, err := start()
--- a/internal/lab/path/proxy.go
+++ b/internal/lab/path/proxy.go
@@ -23,7 +23,7 @@
 // keeps as many connections as it wants, and writes the same line at SIGUSR1. It serves until ctx ends.
 func ServeProxy(ctx context.Context, peers []string, out io.Writer) error {
 	debug.SetMemoryLimit(memoryMB << 20 * 7 / 10)
-	debug.SetGCPercent(400)
+	debug.SetGCPercent(100)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
--- a/internal/lab/path/report.go
+++ b/internal/lab/path/report.go
@@ -10,20 +10,25 @@
 
 // Report is what the meter found.
 type Report struct {
-	Go    string    `json:"go"`
-	Short bool      `json:"short"`
-	Loads []Figures `json:"loads"`
+	Go         string    `json:"go"`
+	Short      bool      `json:"short"`
+	Loads      []Figures `json:"loads"`
+	NotCounted []string  `json:"not_counted,omitempty"` // why some figures are missing
 }
 
 // Figures are what one load costs, per request.
 type Figures struct {
-	Load     string    `json:"load"`
-	About    string    `json:"about"`
-	Requests int       `json:"requests"` // counted, per pair
-	Node     Process   `json:"node"`
-	Proxy    Process   `json:"reverse_proxy"`
-	Ratio    float64   `json:"ratio"` // of processor time: the median of the pairs'
-	Ratios   []float64 `json:"ratios"`
+	Load       string    `json:"load"`
+	About      string    `json:"about"`
+	Requests   int       `json:"requests"` // counted, per pair
+	Node       Process   `json:"node"`
+	Proxy      Process   `json:"reverse_proxy"`
+	Ratio      float64   `json:"ratio"` // of processor time: the median of the pairs'
+	Ratios     []float64 `json:"ratios"`
+	Calls      []Place   `json:"calls"`      // system calls; sum: those that found nothing
+	Writers    []Place   `json:"writers"`    // calls that write to sockets, by function
+	Copiers    []Place   `json:"copiers"`    // copies between buffers, by function; sum: bytes
+	Allocators []Place   `json:"allocators"` // allocations, by function; sum: bytes
 }
 
 // Process are the figures of one process, per request: each the median of the pairs.
@@ -104,6 +109,17 @@
 		row("processor us, user", "%.1f", n.UserMicros, p.UserMicros)
 		row("processor us, system", "%.1f", n.SystemMicros, p.SystemMicros)
 		row("processor us", "%.1f", n.Micros, p.Micros)
-		fmt.Fprintf(w, "  processor time, of ReverseProxy's: %.3f (pairs: %.3f)\n\n", f.Ratio, f.Ratios)
+		fmt.Fprintf(w, "  processor time, of ReverseProxy's: %.3f (pairs: %.3f)\n", f.Ratio, f.Ratios)
+		for _, part := range []struct {
+			what, sum string
+			places    []Place
+		}{{"system calls, slowed down", "found nothing", f.Calls}, {"writes to sockets, by function", "", f.Writers},
+			{"copies between buffers, by function", "bytes", f.Copiers}, {"allocations, by function", "bytes", f.Allocators}} {
+			n, sum := sums(part.places, nil)
+			fmt.Fprintf(w, "  %s: %.2f, %s %.2f\n", part.what, n, part.sum, sum)
+			for _, p := range part.places {
+				fmt.Fprintf(w, "    %10.2f %10.2f  %s\n", p.Count, p.Sum, p.Name)
+			}
+		}
 	}
 }
--- /dev/null
+++ b/internal/lab/path/stacks_linux.go
@@ -0,0 +1,93 @@
+package path
+
+import (
+	"cmp"
+	"debug/elf"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+)
+
+// stacks names the functions on the stacks of a child, by the frame pointers that Go keeps and the symbols
+// of its program.
+type stacks struct {
+	functions []elf.Symbol // by address
+	copier    uint64       // where the function that makes all copies begins; 0: not there
+}
+
+// deepest is how many frames are looked at.
+const deepest = 24
+
+// readSymbols reads a program's.
+func readSymbols(program string) (*stacks, error) {
+	f, err := elf.Open(program)
+	if err != nil {
+		return nil, fmt.Errorf("symbols: %s: %w", program, err)
+	}
+	defer f.Close()
+	if f.Type != elf.ET_EXEC {
+		return nil, fmt.Errorf("symbols: %s: its addresses are not fixed", program)
+	}
+	all, err := f.Symbols()
+	if err != nil {
+		return nil, fmt.Errorf("symbols: %s: %w", program, err)
+	}
+	s := &stacks{}
+	for _, sym := range all {
+		if elf.ST_TYPE(sym.Info) != elf.STT_FUNC {
+			continue
+		}
+		s.functions = append(s.functions, sym)
+		if sym.Name == copier {
+			s.copier = sym.Value
+		}
+	}
+	slices.SortFunc(s.functions, func(a, b elf.Symbol) int { return cmp.Compare(a.Value, b.Value) })
+	return s, nil
+}
+
+// function names what holds an address; "" is none.
+func (s *stacks) function(pc uint64) string {
+	i := sort.Search(len(s.functions), func(i int) bool { return s.functions[i].Value > pc }) - 1
+	if i < 0 || pc >= s.functions[i].Value+max(s.functions[i].Size, 1) {
+		return ""
+	}
+	return s.functions[i].Name
+}
+
+// walk names the functions on a stack in a process's memory: the one that holds pc, and on from a frame.
+func (s *stacks) walk(mem io.ReaderAt, pc, frame uint64) (names []string) {
+	for len(names) < deepest {
+		f := s.function(pc)
+		if f == "" {
+			return names
+		}
+		names = append(names, f)
+		above, back := word(mem, frame), word(mem, frame+8)
+		if above <= frame {
+			return names
+		}
+		frame, pc = above, back-1 // inside the call
+	}
+	return names
+}
+
+// blame names the function that something is done for; "" if that is the runtime's moving of a stack.
+func (s *stacks) blame(mem io.ReaderAt, pc, frame uint64) string {
+	names := s.walk(mem, pc, frame)
+	if len(names) > 0 && names[0] == "runtime.copystack" {
+		return ""
+	}
+	return blame(names)
+}
+
+// word reads one word of a process's memory; 0 if there is none.
+func word(mem io.ReaderAt, at uint64) uint64 {
+	var w [8]byte
+	if _, err := mem.ReadAt(w[:], int64(at)); err != nil {
+		return 0
+	}
+	return binary.LittleEndian.Uint64(w[:])
+}
--- /dev/null
+++ b/internal/lab/path/traced.go
@@ -0,0 +1,95 @@
+package path
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// tally is what was counted.
+type tally struct {
+	calls   map[string]count // by name
+	writers map[string]count // calls that wrote to sockets, by function
+	copiers map[string]count // copies, by function
+}
+
+// count is a number of things, and a sum over them: of empty calls, or of bytes.
+type count struct{ n, sum float64 }
+
+func newTally() tally {
+	return tally{map[string]count{}, map[string]count{}, map[string]count{}}
+}
+
+// Place is a function, or a system call, and what falls to it per request.
+type Place struct {
+	Name  string  `json:"name"`
+	Count float64 `json:"count"`
+	Sum   float64 `json:"sum"` // of bytes; of system calls: those that found nothing
+}
+
+// least is what falls to a place at least, or it is left out.
+const least = 0.005
+
+// places are what has been counted since an earlier time, per request, the most first.
+func places(now, old map[string]count, requests int) (some []Place) {
+	n := float64(requests)
+	for _, name := range slices.Sorted(maps.Keys(now)) {
+		p := Place{name, (now[name].n - old[name].n) / n, (now[name].sum - old[name].sum) / n}
+		if p.Count >= least {
+			some = append(some, p)
+		}
+	}
+	slices.SortStableFunc(some, func(a, b Place) int { return cmp.Compare(b.Count, a.Count) })
+	return some
+}
+
+// sums adds up those places whose name is wanted; all, by nil.
+func sums(some []Place, wanted func(string) bool) (n, sum float64) {
+	for _, p := range some {
+		if wanted == nil || wanted(p.Name) {
+			n, sum = n+p.Count, sum+p.Sum
+		}
+	}
+	return n, sum
+}
+
+// isSocketWrite reports whether a call by its name sends bytes.
+func isSocketWrite(name string) bool {
+	return name == "write socket" || name == "writev socket" || strings.HasPrefix(name, "send")
+}
+
+// isSocketRead reports whether a call by its name takes bytes.
+func isSocketRead(name string) bool { return name == "read socket" || name == "readv socket" }
+
+// traced is what a load does by the tracer's count, per request.
+func (m *meter) traced(ctx context.Context, l Load, copies bool) (calls, writers, copiers []Place, err error) {
+	c, err := m.node(ctx, m.Node)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	defer c.end()
+	d := newDriver(l, c.addr, &m.ids)
+	defer d.close()
+	s := m.sizes()
+	if err := m.drive(ctx, d, s.warm); err != nil { // at full speed
+		return nil, nil, nil, err
+	}
+	t, err := trace(c.pid(), m.stacks, copies)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	if err := m.drive(ctx, d, s.traced/3); err != nil { // and at the tracer's
+		return nil, nil, nil, err
+	}
+	before := t.snapshot()
+	if err := m.drive(ctx, d, s.traced); err != nil {
+		return nil, nil, nil, err
+	}
+	after := t.snapshot()
+	c.end()
+	<-t.done
+	return places(after.calls, before.calls, s.traced), places(after.writers, before.writers, s.traced),
+		places(after.copiers, before.copiers, s.traced), nil
+}
