--- a/cmd/olivelab/path.go
+++ b/cmd/olivelab/path.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
+	"path/filepath"
 
 	"github.com/spf13/cobra"
 
@@ -16,28 +18,49 @@
 
 func pathCommand() *cobra.Command {
 	var o path.Options
-	var file string
+	var file, tolerances string
+	var check, accept bool
 	c := &cobra.Command{
 		Use:   "path",
 		Short: "meters what a request on the plain path costs a node, next to httputil.ReverseProxy",
 		Long: "Builds the node, starts it as a child before stand-in peers, and reports per request: allocations, " +
-			"bytes, system calls, processor time next to httputil.ReverseProxy. " +
-			"Run in the source tree, with go.",
+			"system calls, bytes copied, and processor time next to httputil.ReverseProxy. " +
+			"Run in the source tree, with go. With --check, exit 1 if a count has risen beyond its tolerance.",
 		Args: cobra.NoArgs,
 	}
 	c.Flags().StringVar(&file, "json", "", "where the report goes as JSON")
-	c.Flags().StringVar(&o.Node, "node", "", "a node `program` that is built already")
+	c.Flags().StringVar(&o.Node, "node", "", "a node `program` that is built already, with the tag meter for its allocations")
 	c.Flags().StringVar(&o.Overlay, "overlay", "", "an overlay `file` for the build of the node")
+	c.Flags().StringSliceVar(&o.Loads, "load", nil, "the `names` of the loads; none: all of get,single,upload,answer")
 	c.Flags().IntVar(&o.Pairs, "pairs", 3, "how often node and proxy are measured in turn")
-	c.Flags().BoolVar(&o.Short, "short", false, "fewer requests: the counts hold, the times are rough")
+	c.Flags().IntVar(&o.ProxyGC, "proxy-gc", 0, "GOGC of the proxy, 400 as in a node say; 0: Go's own")
+	c.Flags().BoolVar(&o.Short, "short", false, "fewer requests and one pair: the counts hold, the times are rough")
+	c.Flags().BoolVar(&check, "check", false, "compare the counts with the tolerances")
+	c.Flags().BoolVar(&accept, "accept", false, "write the counts into the tolerances")
+	c.Flags().StringVar(&tolerances, "tolerances", "", "the tolerances' `file`; \"\": the source tree's")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if o.Pairs < 1 {
 			return errors.New("--pairs: at least 1")
 		}
+		if check && accept {
+			return errors.New("--check and --accept: only one of them")
+		}
+		if o.Short {
+			o.Pairs = 1
+		}
 		var err error
-		if o.Root, err = plant.Root(); err != nil && o.Node == "" {
+		if o.Root, err = plant.Root(); err != nil && (o.Node == "" || (check || accept) && tolerances == "") {
 			return err
 		}
+		if tolerances == "" {
+			tolerances = filepath.Join(o.Root, filepath.FromSlash(path.TolerancesFile))
+		}
+		var t *path.Tolerances
+		if check || accept {
+			if t, err = path.ReadTolerances(tolerances); err != nil {
+				return err
+			}
+		}
 		self, err := os.Executable()
 		if err != nil {
 			return fmt.Errorf("this program: %w", err)
@@ -52,12 +75,51 @@
 		if err != nil {
 			return err
 		}
+		if err := out.write(r.JSON); err != nil {
+			return err
+		}
+		switch {
+		case check:
+			return checkPath(c.OutOrStdout(), r, t)
+		case accept:
+			text, err := t.Accept(r)
+			if err != nil {
+				return err
+			}
+			return unreadable(os.WriteFile(tolerances, text, 0o644))
+		}
 		r.Text(c.OutOrStdout())
-		return out.write(r.JSON)
+		return nil
 	}
 	return c
 }
 
+// checkPath writes what the check of a report found.
+func checkPath(w io.Writer, r *path.Report, t *path.Tolerances) error {
+	found := r.Against(t)
+	for _, line := range found.Risen {
+		fmt.Fprintln(w, "risen: "+line)
+	}
+	for _, line := range found.Fallen {
+		fmt.Fprintln(w, "fallen, accept it: "+line)
+	}
+	for _, line := range found.NotChecked {
+		fmt.Fprintln(w, "not checked: "+line)
+	}
+	for _, why := range r.NotCounted {
+		fmt.Fprintln(w, "not counted: "+why)
+	}
+	fmt.Fprintf(w, "%d counts hold, %d have risen, %d have fallen, %d were not checked\n",
+		found.Held, len(found.Risen), len(found.Fallen), len(found.NotChecked))
+	if len(found.Risen) == 0 {
+		return nil
+	}
+	if t.Go != r.Go {
+		fmt.Fprintf(w, "the tolerances are of %s, this is %s\n", t.Go, r.Go)
+	}
+	return errFailed
+}
+
 // pathProxyCommand is how path starts this program to be measured against.
 func pathProxyCommand() *cobra.Command {
 	return &cobra.Command{
--- a/internal/lab/path/blame.go
+++ b/internal/lab/path/blame.go
@@ -32,6 +32,17 @@
 	return short(stack[0])
 }
 
+// without leaves out the innermost functions of a package and those that it is made of.
+func without(name string, stack []string) []string {
+	for len(stack) > 0 {
+		if p := packageOf(stack[0]); p != name && !strings.HasPrefix(p, "internal/") {
+			break
+		}
+		stack = stack[1:]
+	}
+	return stack
+}
+
 func by(f, leaf string) string {
 	if f == leaf {
 		return short(f)
--- a/internal/lab/path/child.go
+++ b/internal/lab/path/child.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -60,18 +61,18 @@
 }
 
 // startProxy starts what the node stands next to: a program that calls ServeProxy.
-func startProxy(ctx context.Context, command, peers []string) (*child, error) {
-	args := append(append([]string{}, command[1:]...), peers...)
-	return start(exec.CommandContext(ctx, command[0], args...))
+func startProxy(ctx context.Context, command, peers []string, gc int) (*child, error) {
+	cmd := exec.CommandContext(ctx, command[0], slices.Concat(command[1:], peers)...)
+	if cmd.Env = os.Environ(); gc > 0 {
+		cmd.Env = append(cmd.Env, fmt.Sprintf("GOGC=%d", gc))
+	}
+	return start(cmd)
 }
 
 var listening = regexp.MustCompile(`msg=started .*listen=(\S+)|msg=started listen=(\S+)`)
 
 // start runs a child on one Go processor and waits until it listens.
 func start(cmd *exec.Cmd) (*child, error) {
-	if cmd.Env == nil {
-		cmd.Env = os.Environ()
-	}
 	cmd.Env = append(cmd.Env, "GOMAXPROCS=1", "GOTRACEBACK=single")
 	out, err := cmd.StderrPipe()
 	if err != nil {
--- a/internal/lab/path/count_allocations.go
+++ b/internal/lab/path/count_allocations.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -71,7 +72,11 @@
 		if err := errors.Join(err1, err2); err != nil {
 			return nil, fmt.Errorf("allocations: not a line: %.80q", line)
 		}
-		f := blame(strings.Split(strings.Trim(words[2], ";"), ";"))
+		stack := without("runtime", strings.Split(strings.Trim(words[2], ";"), ";"))
+		if len(stack) == 0 || stack[0] == "main.writeProfile" || slices.Contains(stack, "main.writeProfile") {
+			continue // the runtime's own, or this profile's
+		}
+		f := blame(stack)
 		sum[f] = count{sum[f].n + objects, sum[f].sum + size}
 	}
 	return sum, nil
--- a/internal/lab/path/count_copies_linux_amd64.go
+++ b/internal/lab/path/count_copies_linux_amd64.go
@@ -41,10 +41,10 @@
 	if syscall.PtraceGetRegs(tid, &r) != nil || r.Rip != t.stacks.copier+1 {
 		return false
 	}
-	function := t.stacks.blame(t.mem, word(t.mem, r.Rsp)-1, r.Rbp)
-	if length := r.Rcx; length > 0 && function != "" {
+	stack := t.stacks.walk(t.mem, word(t.mem, r.Rsp)-1, r.Rbp)
+	if length := r.Rcx; length > 0 && len(stack) > 0 && stack[0] != "runtime.copystack" { // which is no buffer
 		t.mu.Lock()
-		add(t.counted.copiers, function, float64(length))
+		add(t.counted.copiers, blame(stack), float64(length))
 		t.mu.Unlock()
 	}
 	r.Rdi = r.Rax
@@ -58,5 +58,5 @@
 	if t.stacks == nil || syscall.PtraceGetRegs(tid, &r) != nil {
 		return ""
 	}
-	return t.stacks.blame(t.mem, r.Rip, r.Rbp)
+	return blame(without("syscall", t.stacks.walk(t.mem, r.Rip, r.Rbp)))
 }
--- /dev/null
+++ b/internal/lab/path/counts.go
@@ -0,0 +1,70 @@
+package path
+
+// Counts are what the check of the path goes by, by name: numbers of things per request, which hardly hang
+// on time or on what else the machine does. One that could not be counted is missing.
+type Counts map[string]float64
+
+// The names of the counts.
+const (
+	CountAllocations = "allocations"
+	CountBytes       = "allocated_bytes"
+	CountWrites      = "write_calls"  // to sockets
+	CountCalls       = "system_calls" // that carry bytes or look for them, without the scheduler's
+	CountCopied      = "copied_bytes" // between buffers
+)
+
+// countNames is their order in what is written.
+var countNames = []string{CountAllocations, CountBytes, CountWrites, CountCalls, CountCopied}
+
+// schedulers are system calls that the Go runtime makes to share out time and memory: how many they are
+// hangs on the machine. Those on an event counter wake its poller, and the log goes through a pipe.
+var schedulers = map[string]bool{
+	"futex": true, "epoll_pwait": true, "nanosleep": true, "sched_yield": true, "tgkill": true, "getpid": true,
+	"rt_sigreturn": true, "rt_sigprocmask": true, "sigaltstack": true, "clone": true, "mmap": true, "madvise": true,
+	"timer_settime": true, "getrusage": true, "read [eventfd]": true, "write [eventfd]": true, "write pipe": true,
+}
+
+// count takes the counts out of a load's figures.
+func (f *Figures) count() Counts {
+	c := Counts{CountAllocations: f.Node.Allocations, CountBytes: f.Node.AllocatedBytes, CountWrites: f.Node.Writes}
+	if len(f.Calls) > 0 {
+		c[CountWrites], _ = sums(f.Calls, isSocketWrite)
+		n, _ := sums(f.Calls, func(name string) bool { return !schedulers[name] })
+		_, empty := sums(f.Calls, isSocketRead) // these come too early by chance
+		c[CountCalls] = n - empty
+	}
+	if len(f.Copiers) > 0 {
+		_, c[CountCopied] = sums(f.Copiers, nil)
+	}
+	return c
+}
+
+// of is where a count falls, by function; nil where that is not known.
+func (f *Figures) of(count string) map[string]float64 {
+	some, sum := []Place(nil), false
+	switch count {
+	case CountAllocations:
+		some = f.Allocators
+	case CountBytes:
+		some, sum = f.Allocators, true
+	case CountWrites:
+		some = f.Writers
+	case CountCalls:
+		some = f.Calls
+	case CountCopied:
+		some, sum = f.Copiers, true
+	}
+	by := map[string]float64{}
+	for _, p := range some {
+		switch {
+		case count == CountCalls && schedulers[p.Name]:
+		case count == CountCalls && isSocketRead(p.Name):
+			by[p.Name] = p.Count - p.Sum
+		case sum:
+			by[p.Name] = p.Sum
+		default:
+			by[p.Name] = p.Count
+		}
+	}
+	return by
+}
--- a/internal/lab/path/meter.go
+++ b/internal/lab/path/meter.go
@@ -21,6 +21,8 @@
 	Node     string   // a node built already; "": one is built
 	Overlay  string   // of the go command, for a build with a planted fault
 	Proxy    []string // the command that calls ServeProxy with the peers' addresses that follow
+	Loads    []string // their names; none: all
+	ProxyGC  int      // the proxy's GOGC; 0: Go's own
 	Pairs    int      // how often node and proxy are measured in turn
 	Short    bool     // fewer requests: for the counts, not for the times
 	Progress io.Writer
@@ -43,7 +45,7 @@
 type meter struct {
 	Options
 	dir       string
-	profiled  string  // a node that writes its allocations; "": none
+	profiled  string  // a node that writes its allocations, if it is built for that
 	stacks    *stacks // nil: there are no symbols
 	peers     *peers
 	discovery *discovery
@@ -52,13 +54,18 @@
 
 // Measure meters the path.
 func Measure(ctx context.Context, o Options) (*Report, error) {
+	for _, name := range o.Loads {
+		if !slices.ContainsFunc(Loads(), func(l Load) bool { return l.Name == name }) {
+			return nil, fmt.Errorf("load %q: there is none of that name", name)
+		}
+	}
 	dir, err := os.MkdirTemp("", "olivelab-path")
 	if err != nil {
 		return nil, fmt.Errorf("a place for what is built: %w", err)
 	}
 	defer os.RemoveAll(dir)
 	m := &meter{Options: o, dir: dir}
-	if m.Node == "" {
+	if m.profiled = m.Node; m.Node == "" {
 		if m.Node, err = m.build(ctx, "node"); err != nil {
 			return nil, err
 		}
@@ -79,6 +86,9 @@
 	}
 	defer m.discovery.close()
 	for _, l := range Loads() {
+		if len(o.Loads) > 0 && !slices.Contains(o.Loads, l.Name) {
+			continue
+		}
 		f, err := m.pairs(ctx, l)
 		if err != nil {
 			return nil, err
@@ -133,7 +143,7 @@
 		if err != nil {
 			return f, fmt.Errorf("node: %w", err)
 		}
-		p, err := m.plain(ctx, l, func() (*child, error) { return startProxy(ctx, m.Proxy, m.peers.addresses()) })
+		p, err := m.plain(ctx, l, func() (*child, error) { return startProxy(ctx, m.Proxy, m.peers.addresses(), m.ProxyGC) })
 		if err != nil {
 			return f, fmt.Errorf("ReverseProxy: %w", err)
 		}
@@ -166,10 +176,11 @@
 	if err := miss(err); err != nil {
 		return nil, err
 	}
-	if m.profiled != "" {
-		f.Allocators, err = m.allocators(ctx, l, m.profiled)
-		return missing, miss(err)
+	f.Allocators, err = m.allocators(ctx, l, m.profiled)
+	if err := miss(err); err != nil {
+		return nil, err
 	}
+	f.Counts = f.count()
 	return missing, nil
 }
 
--- a/internal/lab/path/proxy.go
+++ b/internal/lab/path/proxy.go
@@ -10,7 +10,6 @@
 	"net/http/httputil"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -19,11 +18,9 @@
 )
 
 // ServeProxy is what a node's processor time stands next to: httputil.ReverseProxy on http.Transport, which
-// decides nothing but sends to one peer after the other. It has the node's bounds on memory and its timeouts,
-// keeps as many connections as it wants, and writes the same line at SIGUSR1. It serves until ctx ends.
+// decides nothing but sends to one peer after the other. It stands as it comes, but that it keeps as many
+// connections as it wants. At SIGUSR1 it writes what a node writes. It serves until ctx ends.
 func ServeProxy(ctx context.Context, peers []string, out io.Writer) error {
-	debug.SetMemoryLimit(memoryMB << 20 * 7 / 10)
-	debug.SetGCPercent(100)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
--- a/internal/lab/path/report.go
+++ b/internal/lab/path/report.go
@@ -25,6 +25,7 @@
 	Proxy      Process   `json:"reverse_proxy"`
 	Ratio      float64   `json:"ratio"` // of processor time: the median of the pairs'
 	Ratios     []float64 `json:"ratios"`
+	Counts     Counts    `json:"counts"`     // what the check goes by
 	Calls      []Place   `json:"calls"`      // system calls; sum: those that found nothing
 	Writers    []Place   `json:"writers"`    // calls that write to sockets, by function
 	Copiers    []Place   `json:"copiers"`    // copies between buffers, by function; sum: bytes
@@ -110,16 +111,39 @@
 		row("processor us, system", "%.1f", n.SystemMicros, p.SystemMicros)
 		row("processor us", "%.1f", n.Micros, p.Micros)
 		fmt.Fprintf(w, "  processor time, of ReverseProxy's: %.3f (pairs: %.3f)\n", f.Ratio, f.Ratios)
-		for _, part := range []struct {
-			what, sum string
-			places    []Place
-		}{{"system calls, slowed down", "found nothing", f.Calls}, {"writes to sockets, by function", "", f.Writers},
-			{"copies between buffers, by function", "bytes", f.Copiers}, {"allocations, by function", "bytes", f.Allocators}} {
-			n, sum := sums(part.places, nil)
-			fmt.Fprintf(w, "  %s: %.2f, %s %.2f\n", part.what, n, part.sum, sum)
-			for _, p := range part.places {
-				fmt.Fprintf(w, "    %10.2f %10.2f  %s\n", p.Count, p.Sum, p.Name)
+		f.text(w)
+	}
+	for _, why := range r.NotCounted {
+		fmt.Fprintf(w, "not counted: %s\n", why)
+	}
+}
+
+// shown is how many places of a kind a reader gets to see.
+const shown = 12
+
+// text writes where the counts fall.
+func (f *Figures) text(w io.Writer) {
+	for _, part := range []struct {
+		what, sum string
+		places    []Place
+	}{
+		{"system calls under the tracer", "found nothing", f.Calls},
+		{"writes to sockets, by function", "found no room", f.Writers},
+		{"copies between buffers, by function", "bytes", f.Copiers},
+		{"allocations, by function", "bytes", f.Allocators},
+	} {
+		if len(part.places) == 0 {
+			continue
+		}
+		n, sum := sums(part.places, nil)
+		fmt.Fprintf(w, "  %s: %.2f; %s: %.2f\n", part.what, n, part.sum, sum)
+		for i, p := range part.places {
+			if i == shown {
+				fmt.Fprintf(w, "    and %d more\n", len(part.places)-shown)
+				break
 			}
+			fmt.Fprintf(w, "    %8.2f %10.2f  %s\n", p.Count, p.Sum, p.Name)
 		}
 	}
+	fmt.Fprintln(w)
 }
--- a/internal/lab/path/stacks_linux.go
+++ b/internal/lab/path/stacks_linux.go
@@ -74,15 +74,6 @@
 	return names
 }
 
-// blame names the function that something is done for; "" if that is the runtime's moving of a stack.
-func (s *stacks) blame(mem io.ReaderAt, pc, frame uint64) string {
-	names := s.walk(mem, pc, frame)
-	if len(names) > 0 && names[0] == "runtime.copystack" {
-		return ""
-	}
-	return blame(names)
-}
-
 // word reads one word of a process's memory; 0 if there is none.
 func word(mem io.ReaderAt, at uint64) uint64 {
 	var w [8]byte
