--- a/cmd/olivebridge/main_test.go
+++ b/cmd/olivebridge/main_test.go
@@ -160,7 +160,7 @@
 		t.Errorf("unknown class: %d", status)
 	}
 	n.cmd.Process.Signal(syscall.SIGUSR1)
-	if line := n.until(t, "when=asked"); !strings.Contains(line, "malformed=1") || !strings.Contains(line, "taken=1 served=1") {
+	if line := n.until(t, "when=asked"); !strings.Contains(line, `process="allocations=`) || !strings.Contains(line, "malformed=1") || !strings.Contains(line, "taken=1 served=1") {
 		t.Error(line)
 	}
 	answers := make(chan int)
--- a/cmd/olivelab/main_test.go
+++ b/cmd/olivelab/main_test.go
@@ -13,9 +13,9 @@
 	"olivebridge/internal/lab/campaign/campaigntest"
 )
 
-// The test binary is its own worker, on the toy's sources.
+// The test binary is its own worker, on the toy's sources, and its own proxy.
 func TestMain(m *testing.M) {
-	if len(os.Args) == 2 && os.Args[1] == "worker" {
+	if len(os.Args) > 1 && (os.Args[1] == "worker" || os.Args[1] == proxyCommand) {
 		os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr, campaigntest.Sources()))
 	}
 	os.Setenv("GORACE", "atexit_sleep_ms=0") // or the race detector adds a second to each worker's end
@@ -81,6 +81,12 @@
 		{"faults --count 0", 2, `^$`, `^olivelab: --count: at least 1\n$`},
 		{"plants --only none", 2, `^$`, `^olivelab: `},
 		{"plants --seeds 0", 2, `^$`, `^olivelab: --seeds: at least 1\n$`},
+
+		{"path", 2, `^$`, `^olivelab: the node is built from its sources: run in the tree of olivebridge, with go\n$`},
+		{"path --node n --pairs 0", 2, `^$`, `^olivelab: --pairs: at least 1\n$`},
+		{"path --node n --check --accept", 2, `^$`, `^olivelab: --check and --accept: only one of them\n$`},
+		{"path --node n --load gets", 2, `^$`, `^olivelab: load "gets": there is none of that name\n$`},
+		{"path --node n --check --tolerances t", 2, `^$`, `^olivelab: t/tolerances.toml: no such file or directory\n$`},
 	} {
 		code, out, errs := call(t, strings.Fields(c.args)...)
 		said := regexp.MustCompile(c.out).MatchString(out) && regexp.MustCompile(c.errs).MatchString(errs)
--- a/cmd/olivelab/path.go
+++ b/cmd/olivelab/path.go
@@ -37,7 +37,7 @@
 	c.Flags().BoolVar(&o.Short, "short", false, "fewer requests and one pair: the counts hold, the times are rough")
 	c.Flags().BoolVar(&check, "check", false, "compare the counts with the tolerances")
 	c.Flags().BoolVar(&accept, "accept", false, "write the counts into the tolerances")
-	c.Flags().StringVar(&tolerances, "tolerances", "", "the tolerances' `file`; \"\": the source tree's")
+	c.Flags().StringVar(&tolerances, "tolerances", "", "the `directory` of the tolerances; \"\": the source tree's")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if o.Pairs < 1 {
 			return errors.New("--pairs: at least 1")
@@ -53,7 +53,7 @@
 			return err
 		}
 		if tolerances == "" {
-			tolerances = filepath.Join(o.Root, filepath.FromSlash(path.TolerancesFile))
+			tolerances = filepath.Join(o.Root, filepath.FromSlash(path.TolerancesDir))
 		}
 		var t *path.Tolerances
 		if check || accept {
@@ -70,7 +70,9 @@
 			return err
 		}
 		defer out.drop()
-		o.Proxy, o.Progress = []string{self, proxyCommand}, c.ErrOrStderr()
+		if o.Progress = c.ErrOrStderr(); file != "" || !check && !accept { // the check asks for no times
+			o.Proxy = []string{self, proxyCommand}
+		}
 		r, err := path.Measure(c.Context(), o)
 		if err != nil {
 			return err
@@ -82,11 +84,10 @@
 		case check:
 			return checkPath(c.OutOrStdout(), r, t)
 		case accept:
-			text, err := t.Accept(r)
-			if err != nil {
-				return err
+			for _, why := range r.NotCounted {
+				fmt.Fprintln(c.OutOrStdout(), "not counted: "+why)
 			}
-			return unreadable(os.WriteFile(tolerances, text, 0o644))
+			return t.Accept(r, tolerances)
 		}
 		r.Text(c.OutOrStdout())
 		return nil
--- /dev/null
+++ b/internal/cost/cost_test.go
@@ -0,0 +1,28 @@
+package cost
+
+import "testing"
+
+var kept [][]byte
+
+// TestNow: what is allocated shows, the smallest objects as well, and the line brings it over whole.
+func TestNow(t *testing.T) {
+	before := Now()
+	const objects, size = 5000, 8
+	for range objects {
+		kept = append(kept, make([]byte, size))
+	}
+	after, err := Parse(Now().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := after.Since(before)
+	if u.Allocations < objects || u.Allocations > objects+200 || u.AllocatedBytes < objects*size {
+		t.Errorf("%d objects of %d bytes: %+v", objects, size, u)
+	}
+	if after.UserMicros+after.SystemMicros <= 0 {
+		t.Errorf("no processor time: %+v", after)
+	}
+	if _, err := Parse("allocations=x"); err == nil {
+		t.Error("no error for a torn line")
+	}
+}
--- a/internal/lab/path/check.go
+++ b/internal/lab/path/check.go
@@ -5,64 +5,79 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
 
-// TolerancesFile is where the tolerances stand, from the root of the source tree.
-const TolerancesFile = "internal/lab/path/tolerances.toml"
+// TolerancesDir is where the tolerances stand, from the root of the source tree.
+const TolerancesDir = "internal/lab/path"
+
+// The files there: what people set and read, and what goes with it.
+const (
+	tolerancesFile = "tolerances.toml"
+	placesFile     = "places.toml"
+)
 
 // Tolerances say what the counts of each load were when they were last accepted, and how far they may rise.
 type Tolerances struct {
-	Go    string           `toml:"go"`
-	Rise  map[string]Rise  `toml:"rise"` // by count
-	Loads map[string]*Base `toml:"load"`
+	Go    string            `toml:"go"`
+	Rise  map[string]Rise   `toml:"rise"` // by count
+	Loads map[string]Counts `toml:"load"`
+
+	places map[string]byPlace // by load
 }
 
+// byPlace is where the counts of a load fell: by count and function.
+type byPlace map[string]map[string]float64
+
 // Rise is how much a count may rise: by a part of it or by a number, whichever is more.
 type Rise struct {
 	Part float64 `toml:"part"`
 	Plus float64 `toml:"plus"`
 }
 
-// Base is what a load's counts were, and where they fell.
-type Base struct {
-	Counts Counts                        `toml:"counts"`
-	Places map[string]map[string]float64 `toml:"places"` // by count and function
-}
-
-// ReadTolerances reads a file.
-func ReadTolerances(file string) (*Tolerances, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("tolerances: %w", err)
-	}
+// ReadTolerances reads them from a directory.
+func ReadTolerances(dir string) (*Tolerances, error) {
+	file := filepath.Join(dir, tolerancesFile)
 	t := &Tolerances{}
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(t); err != nil {
-		line := 0
-		if broken, ok := errors.AsType[*toml.DecodeError](err); ok {
-			line, _ = broken.Position()
-		} else if strict, ok := errors.AsType[*toml.StrictMissingError](err); ok && len(strict.Errors) > 0 {
-			line, _ = strict.Errors[0].Position()
-			err = fmt.Errorf("unknown key %s", strings.Join(strict.Errors[0].Key(), "."))
-		}
-		return nil, fmt.Errorf("%s:%d: %w", file, line, err)
+	if err := readTOML(file, t); err != nil {
+		return nil, err
 	}
 	for _, name := range countNames {
 		if r, ok := t.Rise[name]; !ok || r.Part < 0 || r.Plus < 0 {
 			return nil, fmt.Errorf("%s: rise.%s: missing or below 0", file, name)
 		}
 	}
-	for _, l := range Loads() {
-		if t.Loads[l.Name] == nil || len(t.Loads[l.Name].Counts) == 0 {
-			return nil, fmt.Errorf("%s: load.%s.counts: missing", file, l.Name)
-		}
+	return t, readTOML(filepath.Join(dir, placesFile), &t.places)
+}
+
+// readTOML reads a file with no key that it should not have. An error names file and line.
+func readTOML(file string, to any) error {
+	text, err := os.ReadFile(file)
+	if e, ok := errors.AsType[*os.PathError](err); ok {
+		return fmt.Errorf("%s: %w", file, e.Err)
+	} else if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	err = toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(to)
+	if strict, ok := errors.AsType[*toml.StrictMissingError](err); ok && len(strict.Errors) > 0 {
+		line, _ := strict.Errors[0].Position()
+		return fmt.Errorf("%s:%d: unknown key %s", file, line, strings.Join(strict.Errors[0].Key(), "."))
 	}
-	return t, nil
+	if broken, ok := errors.AsType[*toml.DecodeError](err); ok {
+		line, _ := broken.Position()
+		return fmt.Errorf("%s:%d: %w", file, line, err)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
 }
 
 // Check is what comparing a report with the tolerances gave: a line for each count of each load.
@@ -77,9 +92,8 @@
 func (r *Report) Against(t *Tolerances) Check {
 	var c Check
 	for _, f := range r.Loads {
-		base := t.Loads[f.Load]
 		for _, name := range countNames {
-			was, known := base.Counts[name]
+			was, known := t.Loads[f.Load][name]
 			is, counted := f.Counts[name]
 			room := max(t.Rise[name].Part*was, t.Rise[name].Plus)
 			line := fmt.Sprintf("%s: %s: %.2f a request, and %.2f before", f.Load, name, is, was)
@@ -87,7 +101,7 @@
 			case !known || !counted:
 				c.NotChecked = append(c.NotChecked, fmt.Sprintf("%s: %s", f.Load, name))
 			case is > was+room:
-				line = fmt.Sprintf("%s; %.2f more are allowed%s", line, room, risen(f.of(name), base.Places[name], is-was))
+				line = fmt.Sprintf("%s; %.2f more are allowed%s", line, room, risen(f.of(name), t.places[f.Load][name], is-was))
 				c.Risen = append(c.Risen, line)
 			case is < was-room:
 				c.Fallen = append(c.Fallen, line)
@@ -134,43 +148,58 @@
 	return words.String()
 }
 
-// head stands at the beginning of the tolerances.
-const head = `# What a request on the plain path cost when it was last accepted, per load, and how far each count may rise:
-# by a part of it or by a number, whichever is more. "olivelab path --check" fails beyond. The places say which
-# function what falls to. "olivelab path --accept" writes all but the rises anew; docs/PATH.md says more.
+// The heads of the two files.
+const (
+	tolerancesHead = `# What a request on the plain path cost when it was last accepted, by load, and how far each count may rise:
+# by a part of it or by a number, whichever is more. "olivelab path --check" fails beyond that; "olivelab path
+# --accept" writes the counts anew and leaves the rises. docs/PATH.md says what is counted, and how.
+
+`
+	placesHead = `# Which functions the counts in tolerances.toml fell to, written with them by "olivelab path --accept".
 
 `
+)
 
 // smallest is what a place must have to be kept, by count.
-var smallest = map[string]float64{CountAllocations: 0.2, CountBytes: 32, CountWrites: 0.02, CountCalls: 0.02, CountCopied: 8}
+var smallest = map[string]float64{CountAllocations: 0.2, CountBytes: 64, CountWrites: 0.02, CountCalls: 0.02, CountCopied: 24}
 
-// Accept writes tolerances with a report's counts in the place of the old; the rises stay.
-func (t *Tolerances) Accept(r *Report) ([]byte, error) {
-	n := Tolerances{Go: r.Go, Rise: t.Rise, Loads: map[string]*Base{}}
+// Accept writes a report's counts into the tolerances' directory, in the place of the old; the rises stay, and
+// so does what was not counted.
+func (t *Tolerances) Accept(r *Report, dir string) error {
+	n := Tolerances{Go: r.Go, Rise: t.Rise, Loads: maps.Clone(t.Loads), places: maps.Clone(t.places)}
 	for _, l := range r.Loads {
-		b := &Base{Counts: Counts{}, Places: map[string]map[string]float64{}}
+		counts, by := maps.Clone(t.Loads[l.Load]), maps.Clone(t.places[l.Load])
+		if counts == nil || by == nil {
+			counts, by = Counts{}, byPlace{}
+		}
 		for name, v := range l.Counts {
-			b.Counts[name] = hundredths(v)
+			counts[name] = hundredths(v)
 			kept := map[string]float64{}
 			for f, v := range l.of(name) {
 				if v >= smallest[name] {
 					kept[f] = hundredths(v)
 				}
 			}
-			b.Places[name] = kept
+			by[name] = kept
 		}
-		n.Loads[l.Load] = b
-	}
-	for name, old := range t.Loads { // those that were not measured stay
-		if n.Loads[name] == nil {
-			n.Loads[name] = old
+		if n.Loads == nil || n.places == nil {
+			n.Loads, n.places = map[string]Counts{}, map[string]byPlace{}
 		}
+		n.Loads[l.Load], n.places[l.Load] = counts, by
 	}
-	text, err := toml.Marshal(n)
-	if err != nil {
-		return nil, fmt.Errorf("tolerances: %w", err)
+	for _, f := range []struct {
+		name, head string
+		what       any
+	}{{tolerancesFile, tolerancesHead, n}, {placesFile, placesHead, n.places}} {
+		text, err := toml.Marshal(f.what)
+		if err != nil {
+			return fmt.Errorf("%s: %w", f.name, err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, f.name), append([]byte(f.head), text...), 0o644); err != nil {
+			return fmt.Errorf("tolerances: %w", err)
+		}
 	}
-	return append([]byte(head), text...), nil
+	return nil
 }
 
 func hundredths(v float64) float64 { return math.Round(v*100) / 100 }
--- a/internal/lab/path/meter.go
+++ b/internal/lab/path/meter.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Options say what is metered, and how long.
@@ -20,7 +21,7 @@
 	Root     string   // of the source tree; the node is built there
 	Node     string   // a node built already; "": one is built
 	Overlay  string   // of the go command, for a build with a planted fault
-	Proxy    []string // the command that calls ServeProxy with the peers' addresses that follow
+	Proxy    []string // the command that calls ServeProxy with the addresses that follow; none: the node alone
 	Loads    []string // their names; none: all
 	ProxyGC  int      // the proxy's GOGC; 0: Go's own
 	Pairs    int      // how often node and proxy are measured in turn
@@ -143,11 +144,17 @@
 		if err != nil {
 			return f, fmt.Errorf("node: %w", err)
 		}
-		p, err := m.plain(ctx, l, func() (*child, error) { return startProxy(ctx, m.Proxy, m.peers.addresses(), m.ProxyGC) })
+		nodes = append(nodes, n)
+		if len(m.Proxy) == 0 {
+			continue
+		}
+		p, err := m.plain(ctx, l, func() (*child, error) {
+			return startProxy(ctx, m.Proxy, m.peers.addresses(), m.ProxyGC)
+		})
 		if err != nil {
 			return f, fmt.Errorf("ReverseProxy: %w", err)
 		}
-		nodes, proxies = append(nodes, n), append(proxies, p)
+		proxies = append(proxies, p)
 		f.Ratios = append(f.Ratios, n.Micros/p.Micros)
 	}
 	f.Node, f.Proxy = medians(nodes), medians(proxies)
@@ -210,9 +217,11 @@
 	if err != nil {
 		return p, err
 	}
+	begun := time.Now()
 	if err := m.drive(ctx, d, s.timed); err != nil {
 		return p, err
 	}
+	took := time.Since(begun)
 	ioAfter, err := readProc(c.pid())
 	if err != nil {
 		return p, err
@@ -231,6 +240,7 @@
 		Waited: proc.Waited, Preempted: proc.Preempted,
 		UserMicros: float64(u.UserMicros) / n, SystemMicros: float64(u.SystemMicros) / n,
 		Micros: float64(u.UserMicros+u.SystemMicros) / n,
+		Busy:   float64(u.UserMicros+u.SystemMicros) / float64(took.Microseconds()),
 	}, nil
 }
 
--- /dev/null
+++ b/internal/lab/path/path_test.go
@@ -0,0 +1,162 @@
+package path
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func TestBlame(t *testing.T) {
+	for want, stack := range map[string]string{
+		"transport.readHead": "olivebridge/internal/transport.readHead olivebridge/internal/transport.readAnswer",
+		"transport.(*message).bytes by bytes.(*Buffer).Write": "bytes.(*Buffer).Write fmt.Fprintf " +
+			"olivebridge/internal/transport.(*message).bytes",
+		"net/http.readRequest by net/textproto.readMIMEHeader": "net/textproto.readMIMEHeader net/http.readRequest " +
+			"net/http.(*conn).serve",
+		"transport.f[...] by maps.clone": "maps.clone olivebridge/internal/transport.f[...] net/http.(*conn).serve",
+		"runtime.main":                   "runtime.main runtime.goexit",
+		"":                               "",
+	} {
+		if got := blame(strings.Fields(stack)); got != want {
+			t.Errorf("%s: %q, want %q", stack, got, want)
+		}
+	}
+	stack := []string{"internal/runtime/syscall/linux.Syscall6", "syscall.write", "internal/poll.(*FD).Write", "net.f"}
+	if got := without("syscall", stack); !reflect.DeepEqual(got, stack[3:]) {
+		t.Errorf("without syscall: %q", got)
+	}
+	if got := packageOf("a/b.F[c/d.T]"); got != "a/b" {
+		t.Errorf("package of a generic function: %q", got)
+	}
+}
+
+const tolerances = `[rise.allocations]
+plus = 1
+[rise.allocated_bytes]
+part = 0.1
+[rise.write_calls]
+[rise.system_calls]
+[rise.copied_bytes]
+[load.get]
+allocations = 50
+allocated_bytes = 1000
+`
+
+func writeTolerances(t *testing.T, text, places string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for name, text := range map[string]string{tolerancesFile: text, placesFile: places} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+func TestAgainst(t *testing.T) {
+	const places = "[get.allocations]\n'f' = 40\n'g' = 10\n"
+	allocators := []Place{{"f", 40.05, 0}, {"g", 11, 0}, {"h", 1.5, 0}}
+	for _, c := range []struct {
+		allocations, bytes float64
+		risen, fallen      string
+	}{
+		{50.9, 1099, "", ""},
+		{52.55, 1000, "get: allocations: 52.55 a request, and 50.00 before; 1.00 more are allowed; " +
+			"brought by h (+1.50, new), g (+1.00)", ""},
+		{50, 1101, "get: allocated_bytes: 1101.00 a request, and 1000.00 before; 100.00 more are allowed", ""},
+		{48.9, 1000, "", "get: allocations: 48.90 a request, and 50.00 before"},
+	} {
+		dir := writeTolerances(t, tolerances, places)
+		tol, err := ReadTolerances(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := Figures{Load: "get", Allocators: allocators,
+			Counts: Counts{CountAllocations: c.allocations, CountBytes: c.bytes, CountWrites: 2}}
+		r := &Report{Loads: []Figures{f}}
+		got := r.Against(tol)
+		if strings.Join(got.Risen, "|") != c.risen || strings.Join(got.Fallen, "|") != c.fallen || len(got.NotChecked) != 3 {
+			t.Errorf("%+v: %+v", c, got)
+		}
+		if err := tol.Accept(r, dir); err != nil {
+			t.Fatal(err)
+		}
+		if tol, err = ReadTolerances(dir); err != nil {
+			t.Fatal(err)
+		}
+		if got := r.Against(tol); got.Held != 3 || len(got.NotChecked) != 2 || tol.Rise[CountAllocations].Plus != 1 {
+			t.Errorf("%+v, accepted: %+v", c, got)
+		}
+	}
+}
+
+func TestBadTolerances(t *testing.T) {
+	for _, c := range []struct{ text, places, want string }{
+		{tolerances + "[", "", "/tolerances.toml:11: "},
+		{tolerances + "[new]\n", "", "/tolerances.toml:11: unknown key new"},
+		{strings.Replace(tolerances, "plus = 1", "plus = -1", 1), "", "/tolerances.toml: rise.allocations: missing or below 0"},
+		{strings.Replace(tolerances, "[rise.copied_bytes]\n", "", 1), "", "rise.copied_bytes: missing"},
+		{tolerances, "get = 1", "/places.toml:1: "},
+	} {
+		if _, err := ReadTolerances(writeTolerances(t, c.text, c.places)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %q", c.text, err, c.want)
+		}
+	}
+}
+
+// TestDriver: what is not served is counted, a connection closed between requests costs one more, and an
+// answer that cannot be read is an error.
+func TestDriver(t *testing.T) {
+	const fine, refused = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		answers []string // of one connection, which ends with the last
+		count   int
+		refused int
+		err     string
+	}{
+		{[]string{fine, fine, fine}, 3, 0, ""},
+		{[]string{fine, refused, fine}, 3, 1, ""},
+		{[]string{fine, fine}, 3, 0, ""}, // the third goes over another
+		{[]string{""}, 1, 0, "EOF"},
+		{[]string{"HTTP/1.1 200 OK\r\n\r\n"}, 1, 0, "without a length"},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				in := bufio.NewReader(conn)
+				for _, a := range c.answers {
+					for line := ""; line != "\r\n" && err == nil; {
+						line, err = in.ReadString('\n')
+					}
+					io.WriteString(conn, a)
+				}
+				conn.Close()
+			}
+		}()
+		d := newDriver(Load{Name: "x", Conns: 1, class: "read"}, l.Addr().String(), &ids{})
+		o, err := d.run(t.Context(), c.count)
+		if (err == nil) != (c.err == "") || err != nil && !strings.Contains(err.Error(), c.err) || o.refused != c.refused {
+			t.Errorf("%q: %d refused, %v", c.answers, o.refused, err)
+		}
+		if c.refused > 0 {
+			if err := new(meter).drive(t.Context(), d, c.count); !errors.Is(err, errRefused) {
+				t.Errorf("%q: %v", c.answers, err)
+			}
+		}
+		d.close()
+		l.Close()
+	}
+}
--- a/internal/lab/path/report.go
+++ b/internal/lab/path/report.go
@@ -22,9 +22,9 @@
 	About      string    `json:"about"`
 	Requests   int       `json:"requests"` // counted, per pair
 	Node       Process   `json:"node"`
-	Proxy      Process   `json:"reverse_proxy"`
-	Ratio      float64   `json:"ratio"` // of processor time: the median of the pairs'
-	Ratios     []float64 `json:"ratios"`
+	Proxy      Process   `json:"reverse_proxy,omitzero"`
+	Ratio      float64   `json:"ratio,omitzero"` // of processor time: the median of the pairs'
+	Ratios     []float64 `json:"ratios,omitempty"`
 	Counts     Counts    `json:"counts"`     // what the check goes by
 	Calls      []Place   `json:"calls"`      // system calls; sum: those that found nothing
 	Writers    []Place   `json:"writers"`    // calls that write to sockets, by function
@@ -46,6 +46,7 @@
 	UserMicros     float64 `json:"user_us"`
 	SystemMicros   float64 `json:"system_us"`
 	Micros         float64 `json:"processor_us"`
+	Busy           float64 `json:"busy"` // the part of the time that it had a processor; of several threads, above 1
 }
 
 // median takes the middle of some values, by a field of theirs.
@@ -80,6 +81,7 @@
 		UserMicros:     m(func(p Process) float64 { return p.UserMicros }),
 		SystemMicros:   m(func(p Process) float64 { return p.SystemMicros }),
 		Micros:         m(func(p Process) float64 { return p.Micros }),
+		Busy:           m(func(p Process) float64 { return p.Busy }),
 	}
 }
 
@@ -110,6 +112,7 @@
 		row("processor us, user", "%.1f", n.UserMicros, p.UserMicros)
 		row("processor us, system", "%.1f", n.SystemMicros, p.SystemMicros)
 		row("processor us", "%.1f", n.Micros, p.Micros)
+		row("busy, part of the time", "%.2f", n.Busy, p.Busy)
 		fmt.Fprintf(w, "  processor time, of ReverseProxy's: %.3f (pairs: %.3f)\n", f.Ratio, f.Ratios)
 		f.text(w)
 	}
--- a/internal/lab/plant/plant.go
+++ b/internal/lab/plant/plant.go
@@ -31,9 +31,10 @@
 }
 
 // All reads the planted faults.
-func All() ([]Plant, error) { return parse("plants.toml", list) }
+func All() ([]Plant, error) { return Parse("plants.toml", list) }
 
-func parse(name string, data []byte) ([]Plant, error) {
+// Parse reads a list of planted faults; name is that of its file.
+func Parse(name string, data []byte) ([]Plant, error) {
 	var in struct {
 		Plants []Plant `toml:"plant"`
 	}
@@ -78,7 +79,7 @@
 	out, err := exec.Command("go", "list", "-m", "-f", "{{.Path}} {{.Dir}}").Output()
 	path, dir, ok := strings.Cut(strings.TrimSpace(string(out)), " ")
 	if err != nil || !ok || path != module {
-		return "", fmt.Errorf("planted faults are built from sources: run in the tree of %s, with go", module)
+		return "", fmt.Errorf("the node is built from its sources: run in the tree of %s, with go", module)
 	}
 	return dir, nil
 }
--- a/internal/lab/plant/plant_test.go
+++ b/internal/lab/plant/plant_test.go
@@ -64,7 +64,7 @@
 		{whole + "newer = 1\n", "f:8: plant.newer: unknown key"},
 		{whole + "[", "f:8: "},
 	} {
-		_, err := parse("f", []byte(c.text))
+		_, err := Parse("f", []byte(c.text))
 		if got := ""; err != nil {
 			if got = err.Error(); c.want == "" || !strings.HasPrefix(got, c.want) || strings.Contains(got, "\n") {
 				t.Errorf("%q: %s", c.text, got)
