--- a/cmd/olivelab/main.go
+++ b/cmd/olivelab/main.go
@@ -20,7 +20,7 @@
 // How the program ends: scripts rely on it.
 const (
 	exitOK     = 0
-	exitFailed = 1 // a rule was broken, or a plant not found
+	exitFailed = 1 // a rule was broken, a plant not found, or a count has risen
 	exitUsage  = 2 // the call, a file or the machine was at fault, and what was asked for was not done
 )
 
