Load node and ReverseProxy slice by slice, so that the machine's noise strikes both

On a machine that does other things the ratio of a pair came out between 0.61 and 0.95, since each side was measured in a time of its own.

--- a/cmd/olivelab/path.go
+++ b/cmd/olivelab/path.go
@@ -29,9 +29,9 @@
 		Args: cobra.NoArgs,
 	}
 	c.Flags().StringVar(&file, "json", "", "where the report goes as JSON")
-	c.Flags().StringVar(&o.Node, "node", "", "a node `program` that is built already, with the tag meter for its allocations")
+	c.Flags().StringVar(&o.Node, "node", "", "a node `program` that is built already, best with the tag meter")
 	c.Flags().StringVar(&o.Overlay, "overlay", "", "an overlay `file` for the build of the node")
-	c.Flags().StringSliceVar(&o.Loads, "load", nil, "the `names` of the loads; none: all of get,single,upload,answer")
+	c.Flags().StringSliceVar(&o.Loads, "load", nil, "the loads' `names`, of get,single,upload,answer; none: all")
 	c.Flags().IntVar(&o.Pairs, "pairs", 3, "how often node and proxy are measured in turn")
 	c.Flags().IntVar(&o.ProxyGC, "proxy-gc", 0, "GOGC of the proxy, 400 as in a node say; 0: Go's own")
 	c.Flags().BoolVar(&o.Short, "short", false, "fewer requests and one pair: the counts hold, the times are rough")
--- a/internal/cost/cost.go
+++ b/internal/cost/cost.go
@@ -38,7 +38,8 @@
 
 // Parse reads what String wrote.
 func Parse(s string) (u Used, err error) {
-	_, err = fmt.Sscanf(s, form, &u.Allocations, &u.AllocatedBytes, &u.Collections, &u.UserMicros, &u.SystemMicros)
+	_, err = fmt.Sscanf(s, form, &u.Allocations, &u.AllocatedBytes, &u.Collections, &u.UserMicros,
+		&u.SystemMicros)
 	if err != nil {
 		return Used{}, fmt.Errorf("cost %.80q: %w", s, err)
 	}
@@ -47,6 +48,12 @@
 
 // Since is what was used up after an earlier time.
 func (u Used) Since(old Used) Used {
-	return Used{u.Allocations - old.Allocations, u.AllocatedBytes - old.AllocatedBytes, u.Collections - old.Collections,
-		u.UserMicros - old.UserMicros, u.SystemMicros - old.SystemMicros}
+	return Used{u.Allocations - old.Allocations, u.AllocatedBytes - old.AllocatedBytes,
+		u.Collections - old.Collections, u.UserMicros - old.UserMicros, u.SystemMicros - old.SystemMicros}
+}
+
+// And adds what else was used up.
+func (u Used) And(more Used) Used {
+	return Used{u.Allocations + more.Allocations, u.AllocatedBytes + more.AllocatedBytes,
+		u.Collections + more.Collections, u.UserMicros + more.UserMicros, u.SystemMicros + more.SystemMicros}
 }
--- a/internal/lab/path/blame.go
+++ b/internal/lab/path/blame.go
@@ -8,9 +8,9 @@
 // carries tells the packages that do what others tell them to, so that nothing is laid to their charge.
 var carries = map[string]bool{
 	"bufio": true, "bytes": true, "errors": true, "fmt": true, "io": true, "maps": true, "net/textproto": true,
-	"reflect": true, "slices": true, "strconv": true, "strings": true, "sync": true, "syscall": true, "net": true,
-	"sync/atomic": true, "runtime": true, "container/list": true, "hash/fnv": true, "iter": true, "sort": true,
-	"os": true, "unicode/utf8": true,
+	"reflect": true, "slices": true, "strconv": true, "strings": true, "sync": true, "syscall": true,
+	"sync/atomic": true, "runtime": true, "container/list": true, "hash/fnv": true, "iter": true,
+	"sort": true, "net": true, "os": true, "unicode/utf8": true,
 }
 
 // blame names the function that something is done for, from a stack with the innermost function first: the
--- a/internal/lab/path/check.go
+++ b/internal/lab/path/check.go
@@ -101,7 +101,8 @@
 			case !known || !counted:
 				c.NotChecked = append(c.NotChecked, fmt.Sprintf("%s: %s", f.Load, name))
 			case is > was+room:
-				line = fmt.Sprintf("%s; %.2f more are allowed%s", line, room, risen(f.of(name), t.places[f.Load][name], is-was))
+				brought := risen(f.of(name), t.places[f.Load][name], is-was)
+				line = fmt.Sprintf("%s; %.2f more are allowed%s", line, room, brought)
 				c.Risen = append(c.Risen, line)
 			case is < was-room:
 				c.Fallen = append(c.Fallen, line)
@@ -161,7 +162,9 @@
 )
 
 // smallest is what a place must have to be kept, by count.
-var smallest = map[string]float64{CountAllocations: 0.2, CountBytes: 64, CountWrites: 0.02, CountCalls: 0.02, CountCopied: 24}
+var smallest = map[string]float64{
+	CountAllocations: 0.2, CountBytes: 64, CountWrites: 0.02, CountCalls: 0.02, CountCopied: 24,
+}
 
 // Accept writes a report's counts into the tolerances' directory, in the place of the old; the rises stay, and
 // so does what was not counted.
--- a/internal/lab/path/child.go
+++ b/internal/lab/path/child.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -48,7 +47,8 @@
 const startup = 20 * time.Second
 
 // startNode starts a node in front of peers. Its configuration goes to dir.
-func startNode(ctx context.Context, program, dir string, peers []string, discovery string, env ...string) (*child, error) {
+func startNode(ctx context.Context, program, dir string, peers []string, discovery string,
+	env ...string) (*child, error) {
 	file := filepath.Join(dir, "node.json")
 	if err := os.WriteFile(file, fmt.Appendf(nil, configuration, memoryMB, group(peers)), 0o600); err != nil {
 		return nil, fmt.Errorf("the node's configuration: %w", err)
@@ -112,7 +112,8 @@
 		select {
 		case line, ok := <-c.lines:
 			if !ok {
-				return nil, fmt.Errorf("%s ended early: %s", filepath.Base(c.cmd.Path), strings.Join(c.extras, "; "))
+				return nil, fmt.Errorf("%s ended early: %s", filepath.Base(c.cmd.Path),
+					strings.Join(c.extras, "; "))
 			}
 			if m := form.FindStringSubmatch(line); m != nil {
 				return m, nil
@@ -151,6 +152,3 @@
 		c.cmd.Wait() // by a signal, and a tracer may have heard of it first
 	})
 }
-
-// errRefused is a load that the child did not serve as it should.
-var errRefused = errors.New("not served")
--- a/internal/lab/path/count_allocations.go
+++ b/internal/lab/path/count_allocations.go
@@ -32,14 +32,14 @@
 	d := newDriver(l, c.addr, &m.ids)
 	defer d.close()
 	s := m.sizes()
-	if err := m.drive(ctx, d, s.warm); err != nil {
+	if err := d.serve(ctx, s.warm); err != nil {
 		return nil, err
 	}
 	before, err := readAllocations(c, file)
 	if err != nil {
 		return nil, err
 	}
-	if err := m.drive(ctx, d, s.profiled); err != nil {
+	if err := d.serve(ctx, s.profiled); err != nil {
 		return nil, err
 	}
 	after, err := readAllocations(c, file)
--- a/internal/lab/path/count_process.go
+++ b/internal/lab/path/count_process.go
@@ -53,9 +53,11 @@
 	return nil
 }
 
-// since is what came after an earlier time, per request.
-func (f procFigures) since(old procFigures, requests int) procFigures {
-	n := float64(requests)
-	return procFigures{(f.Reads - old.Reads) / n, (f.Writes - old.Writes) / n, (f.ReadBytes - old.ReadBytes) / n,
-		(f.WriteBytes - old.WriteBytes) / n, (f.Waited - old.Waited) / n, (f.Preempted - old.Preempted) / n}
+// and adds what came between two times.
+func (f procFigures) and(now, before procFigures) procFigures {
+	return procFigures{
+		f.Reads + now.Reads - before.Reads, f.Writes + now.Writes - before.Writes,
+		f.ReadBytes + now.ReadBytes - before.ReadBytes, f.WriteBytes + now.WriteBytes - before.WriteBytes,
+		f.Waited + now.Waited - before.Waited, f.Preempted + now.Preempted - before.Preempted,
+	}
 }
--- a/internal/lab/path/counts.go
+++ b/internal/lab/path/counts.go
@@ -20,13 +20,16 @@
 // hangs on the machine. Those on an event counter wake its poller, and the log goes through a pipe.
 var schedulers = map[string]bool{
 	"futex": true, "epoll_pwait": true, "nanosleep": true, "sched_yield": true, "tgkill": true, "getpid": true,
-	"rt_sigreturn": true, "rt_sigprocmask": true, "sigaltstack": true, "clone": true, "mmap": true, "madvise": true,
-	"timer_settime": true, "getrusage": true, "read [eventfd]": true, "write [eventfd]": true, "write pipe": true,
+	"rt_sigreturn": true, "rt_sigprocmask": true, "sigaltstack": true, "clone": true, "mmap": true,
+	"madvise": true, "timer_settime": true, "getrusage": true, "read [eventfd]": true,
+	"write [eventfd]": true, "write pipe": true,
 }
 
 // count takes the counts out of a load's figures.
 func (f *Figures) count() Counts {
-	c := Counts{CountAllocations: f.Node.Allocations, CountBytes: f.Node.AllocatedBytes, CountWrites: f.Node.Writes}
+	c := Counts{
+		CountAllocations: f.Node.Allocations, CountBytes: f.Node.AllocatedBytes, CountWrites: f.Node.Writes,
+	}
 	if len(f.Calls) > 0 {
 		c[CountWrites], _ = sums(f.Calls, isSocketWrite)
 		n, _ := sums(f.Calls, func(name string) bool { return !schedulers[name] })
--- a/internal/lab/path/load.go
+++ b/internal/lab/path/load.go
@@ -68,7 +68,7 @@
 	conns []*sender
 }
 
-// Outcome is what became of some requests.
+// outcome is what became of some requests.
 type outcome struct {
 	sent    int
 	refused int // answered otherwise than by 200
@@ -122,6 +122,21 @@
 	return o, errors.Join(errs...)
 }
 
+// errRefused is a load that the child did not serve as it should.
+var errRefused = errors.New("not served")
+
+// serve sends requests, of which hardly any may be refused: what is not served does not pass the path.
+func (d *driver) serve(ctx context.Context, count int) error {
+	o, err := d.run(ctx, count)
+	if err != nil {
+		return err
+	}
+	if o.refused*100 > o.sent {
+		return fmt.Errorf("load %s: %w: %d of %d requests", d.load.Name, errRefused, o.refused, o.sent)
+	}
+	return nil
+}
+
 func (d *driver) close() {
 	for _, s := range d.conns {
 		if s.conn != nil {
--- a/internal/lab/path/meter.go
+++ b/internal/lab/path/meter.go
@@ -13,7 +13,6 @@
 	"runtime"
 	"slices"
 	"strings"
-	"time"
 )
 
 // Options say what is metered, and how long.
@@ -21,7 +20,7 @@
 	Root     string   // of the source tree; the node is built there
 	Node     string   // a node built already; "": one is built
 	Overlay  string   // of the go command, for a build with a planted fault
-	Proxy    []string // the command that calls ServeProxy with the addresses that follow; none: the node alone
+	Proxy    []string // the command that calls ServeProxy; none: the node alone
 	Loads    []string // their names; none: all
 	ProxyGC  int      // the proxy's GOGC; 0: Go's own
 	Pairs    int      // how often node and proxy are measured in turn
@@ -33,13 +32,13 @@
 const peerCount = 12
 
 // sizes are how many requests a load has in each pass.
-type sizes struct{ warm, timed, traced, profiled int }
+type sizes struct{ warm, timed, slices, traced, profiled int }
 
 func (o Options) sizes() sizes {
 	if o.Short {
-		return sizes{warm: 1500, timed: 3000, traced: 300, profiled: 1000}
+		return sizes{warm: 1500, timed: 3000, slices: 1, traced: 300, profiled: 1000}
 	}
-	return sizes{warm: 3000, timed: 20000, traced: 1000, profiled: 5000}
+	return sizes{warm: 3000, timed: 20000, slices: 10, traced: 1000, profiled: 5000}
 }
 
 // Meter is one measurement: its stand-ins, and where its files are.
@@ -119,7 +118,8 @@
 	cmd := exec.CommandContext(ctx, "go", append(args, "./cmd/olivebridge")...)
 	cmd.Dir = m.Root
 	if said, err := cmd.CombinedOutput(); err != nil {
-		return "", fmt.Errorf("building the node: %w: %s", err, strings.ReplaceAll(strings.TrimSpace(string(said)), "\n", "; "))
+		line := strings.ReplaceAll(strings.TrimSpace(string(said)), "\n", "; ")
+		return "", fmt.Errorf("building the node: %w: %s", err, line)
 	}
 	return program, nil
 }
@@ -134,32 +134,66 @@
 	return startNode(ctx, program, m.dir, m.peers.addresses(), m.discovery.addr, env...)
 }
 
-// pairs measures a load on node and proxy in turn.
+// pairs measures a load on node and proxy, pair by pair.
 func (m *meter) pairs(ctx context.Context, l Load) (Figures, error) {
 	f := Figures{Load: l.Name, About: l.About, Requests: m.sizes().timed}
 	var nodes, proxies []Process
 	for i := range max(m.Pairs, 1) {
 		m.say("%s: pair %d", l.Name, i+1)
-		n, err := m.plain(ctx, l, func() (*child, error) { return m.node(ctx, m.Node) })
+		some, err := m.pair(ctx, l)
 		if err != nil {
-			return f, fmt.Errorf("node: %w", err)
+			return f, err
 		}
-		nodes = append(nodes, n)
-		if len(m.Proxy) == 0 {
-			continue
+		nodes = append(nodes, some[0])
+		if len(some) > 1 {
+			proxies = append(proxies, some[1])
+			f.Ratios = append(f.Ratios, some[0].Micros/some[1].Micros)
 		}
-		p, err := m.plain(ctx, l, func() (*child, error) {
+	}
+	f.Node, f.Proxy = medians(nodes), medians(proxies)
+	f.Ratio = median(f.Ratios, func(v float64) float64 { return v })
+	return f, nil
+}
+
+// pair measures a load on a new node and, if it is wanted, on a new proxy. They are loaded in turn, slice by
+// slice, so that what else the machine does strikes both alike.
+func (m *meter) pair(ctx context.Context, l Load) ([]Process, error) {
+	starts := []func() (*child, error){func() (*child, error) { return m.node(ctx, m.Node) }}
+	if len(m.Proxy) > 0 {
+		starts = append(starts, func() (*child, error) {
 			return startProxy(ctx, m.Proxy, m.peers.addresses(), m.ProxyGC)
 		})
+	}
+	var lanes []*lane
+	defer func() {
+		for _, a := range lanes {
+			a.close()
+		}
+	}()
+	s := m.sizes()
+	for i, start := range starts {
+		c, err := start()
 		if err != nil {
-			return f, fmt.Errorf("ReverseProxy: %w", err)
+			return nil, err
+		}
+		a := &lane{child: c, driver: newDriver(l, c.addr, &m.ids), name: []string{"node", "ReverseProxy"}[i]}
+		lanes = append(lanes, a)
+		if err := a.warm(ctx, s.warm); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.name, err)
 		}
-		proxies = append(proxies, p)
-		f.Ratios = append(f.Ratios, n.Micros/p.Micros)
 	}
-	f.Node, f.Proxy = medians(nodes), medians(proxies)
-	f.Ratio = median(f.Ratios, func(v float64) float64 { return v })
-	return f, nil
+	for range s.slices {
+		for _, a := range lanes {
+			if err := a.slice(ctx, s.timed/s.slices); err != nil {
+				return nil, fmt.Errorf("%s: %w", a.name, err)
+			}
+		}
+	}
+	var some []Process
+	for _, a := range lanes {
+		some = append(some, a.process())
+	}
+	return some, nil
 }
 
 // places counts what needs a slower node: system calls, copies, and which functions they and the
@@ -190,68 +224,3 @@
 	f.Counts = f.count()
 	return missing, nil
 }
-
-// plain measures a load on a child of its own, undisturbed.
-func (m *meter) plain(ctx context.Context, l Load, start func() (*child, error)) (p Process, err error) {
-	c, err := start()
-	if err != nil {
-		return p, err
-	}
-	defer c.end()
-	d := newDriver(l, c.addr, &m.ids)
-	defer d.close()
-	s := m.sizes()
-	if err := m.drive(ctx, d, s.warm); err != nil {
-		return p, err
-	}
-	blank, err := c.cost()
-	if err != nil {
-		return p, err
-	}
-	before, err := c.cost()
-	if err != nil {
-		return p, err
-	}
-	asking := before.Since(blank) // what it costs to ask
-	ioBefore, err := readProc(c.pid())
-	if err != nil {
-		return p, err
-	}
-	begun := time.Now()
-	if err := m.drive(ctx, d, s.timed); err != nil {
-		return p, err
-	}
-	took := time.Since(begun)
-	ioAfter, err := readProc(c.pid())
-	if err != nil {
-		return p, err
-	}
-	after, err := c.cost()
-	if err != nil {
-		return p, err
-	}
-	u, n := after.Since(before), float64(s.timed)
-	proc := ioAfter.since(ioBefore, s.timed)
-	return Process{
-		Allocations:    (float64(u.Allocations) - float64(asking.Allocations)) / n,
-		AllocatedBytes: (float64(u.AllocatedBytes) - float64(asking.AllocatedBytes)) / n,
-		Collections:    float64(u.Collections) / n * 1000,
-		Reads:          proc.Reads, Writes: proc.Writes, ReadBytes: proc.ReadBytes, WrittenBytes: proc.WriteBytes,
-		Waited: proc.Waited, Preempted: proc.Preempted,
-		UserMicros: float64(u.UserMicros) / n, SystemMicros: float64(u.SystemMicros) / n,
-		Micros: float64(u.UserMicros+u.SystemMicros) / n,
-		Busy:   float64(u.UserMicros+u.SystemMicros) / float64(took.Microseconds()),
-	}, nil
-}
-
-// drive sends requests, of which hardly any may be refused: what is not served does not pass the path.
-func (m *meter) drive(ctx context.Context, d *driver, count int) error {
-	o, err := d.run(ctx, count)
-	if err != nil {
-		return err
-	}
-	if o.refused*100 > o.sent {
-		return fmt.Errorf("load %s: %w: %d of %d requests", d.load.Name, errRefused, o.refused, o.sent)
-	}
-	return nil
-}
--- a/internal/lab/path/path_test.go
+++ b/internal/lab/path/path_test.go
@@ -81,7 +81,8 @@
 			Counts: Counts{CountAllocations: c.allocations, CountBytes: c.bytes, CountWrites: 2}}
 		r := &Report{Loads: []Figures{f}}
 		got := r.Against(tol)
-		if strings.Join(got.Risen, "|") != c.risen || strings.Join(got.Fallen, "|") != c.fallen || len(got.NotChecked) != 3 {
+		if strings.Join(got.Risen, "|") != c.risen || strings.Join(got.Fallen, "|") != c.fallen ||
+			len(got.NotChecked) != 3 {
 			t.Errorf("%+v: %+v", c, got)
 		}
 		if err := tol.Accept(r, dir); err != nil {
@@ -100,11 +101,13 @@
 	for _, c := range []struct{ text, places, want string }{
 		{tolerances + "[", "", "/tolerances.toml:11: "},
 		{tolerances + "[new]\n", "", "/tolerances.toml:11: unknown key new"},
-		{strings.Replace(tolerances, "plus = 1", "plus = -1", 1), "", "/tolerances.toml: rise.allocations: missing or below 0"},
+		{strings.Replace(tolerances, "plus = 1", "plus = -1", 1), "",
+			"/tolerances.toml: rise.allocations: missing or below 0"},
 		{strings.Replace(tolerances, "[rise.copied_bytes]\n", "", 1), "", "rise.copied_bytes: missing"},
 		{tolerances, "get = 1", "/places.toml:1: "},
 	} {
-		if _, err := ReadTolerances(writeTolerances(t, c.text, c.places)); err == nil || !strings.Contains(err.Error(), c.want) {
+		_, err := ReadTolerances(writeTolerances(t, c.text, c.places))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%q: %v, want %q", c.text, err, c.want)
 		}
 	}
@@ -113,7 +116,8 @@
 // TestDriver: what is not served is counted, a connection closed between requests costs one more, and an
 // answer that cannot be read is an error.
 func TestDriver(t *testing.T) {
-	const fine, refused = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+	const fine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+	const refused = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
 	for _, c := range []struct {
 		answers []string // of one connection, which ends with the last
 		count   int
@@ -148,11 +152,12 @@
 		}()
 		d := newDriver(Load{Name: "x", Conns: 1, class: "read"}, l.Addr().String(), &ids{})
 		o, err := d.run(t.Context(), c.count)
-		if (err == nil) != (c.err == "") || err != nil && !strings.Contains(err.Error(), c.err) || o.refused != c.refused {
+		if (err == nil) != (c.err == "") || err != nil && !strings.Contains(err.Error(), c.err) ||
+			o.refused != c.refused {
 			t.Errorf("%q: %d refused, %v", c.answers, o.refused, err)
 		}
 		if c.refused > 0 {
-			if err := new(meter).drive(t.Context(), d, c.count); !errors.Is(err, errRefused) {
+			if err := d.serve(t.Context(), c.count); !errors.Is(err, errRefused) {
 				t.Errorf("%q: %v", c.answers, err)
 			}
 		}
--- a/internal/lab/path/peers.go
+++ b/internal/lab/path/peers.go
@@ -32,8 +32,8 @@
 )
 
 func answerOf(size int) []byte {
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n", size)
-	return append([]byte(head), bytes.Repeat([]byte("0123456789abcdef"), size/16)...)
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n"
+	return append(fmt.Appendf(nil, head, size), bytes.Repeat([]byte("0123456789abcdef"), size/16)...)
 }
 
 // startPeers listens on loopback.
--- a/internal/lab/path/report.go
+++ b/internal/lab/path/report.go
@@ -46,7 +46,7 @@
 	UserMicros     float64 `json:"user_us"`
 	SystemMicros   float64 `json:"system_us"`
 	Micros         float64 `json:"processor_us"`
-	Busy           float64 `json:"busy"` // the part of the time that it had a processor; of several threads, above 1
+	Busy           float64 `json:"busy"` // the part of the time that it had a processor
 }
 
 // median takes the middle of some values, by a field of theirs.
--- a/internal/lab/path/traced.go
+++ b/internal/lab/path/traced.go
@@ -73,18 +73,18 @@
 	d := newDriver(l, c.addr, &m.ids)
 	defer d.close()
 	s := m.sizes()
-	if err := m.drive(ctx, d, s.warm); err != nil { // at full speed
+	if err := d.serve(ctx, s.warm); err != nil { // at full speed
 		return nil, nil, nil, err
 	}
 	t, err := trace(c.pid(), m.stacks, copies)
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	if err := m.drive(ctx, d, s.traced/3); err != nil { // and at the tracer's
+	if err := d.serve(ctx, s.traced/3); err != nil { // and at the tracer's
 		return nil, nil, nil, err
 	}
 	before := t.snapshot()
-	if err := m.drive(ctx, d, s.traced); err != nil {
+	if err := d.serve(ctx, s.traced); err != nil {
 		return nil, nil, nil, err
 	}
 	after := t.snapshot()
