--- a/cmd/olivelab/main.go
+++ b/cmd/olivelab/main.go
@@ -20,7 +20,7 @@
 // How the program ends: scripts rely on it.
 const (
 	exitOK     = 0
-	exitFailed = 1 // a rule was broken, or a plant not found
+	exitFailed = 1 // a rule was broken, a plant not found, or a count has risen
 	exitUsage  = 2 // the call, a file or the machine was at fault, and what was asked for was not done
 )
 
@@ -49,7 +49,7 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.AddCommand(seedsCommand(s), replayCommand(s), shrinkCommand(s), faultsCommand(s), plantsCommand(s), upCommand(),
-		workerCommand(s))
+		pathCommand(), pathProxyCommand(), workerCommand(s))
 	root.AddCommand(runCommand(nil))     // nil: no runner on sockets
 	root.AddCommand(compareCommand(nil)) // the same
 	err := root.ExecuteContext(ctx)
--- /dev/null
+++ b/internal/lab/path/meter.go
@@ -0,0 +1,226 @@
+// Package path meters what a request on the plain path costs a node: a real one, as a child process on
+// loopback, between stand-in peers and a lean load, next to httputil.ReverseProxy in the same place.
+package path
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+)
+
+// Options say what is metered, and how long.
+type Options struct {
+	Root     string   // of the source tree; the node is built there
+	Node     string   // a node built already; "": one is built
+	Overlay  string   // of the go command, for a build with a planted fault
+	Proxy    []string // the command that calls ServeProxy; none: the node alone
+	Loads    []string // their names; none: all
+	ProxyGC  int      // the proxy's GOGC; 0: Go's own
+	Pairs    int      // how often node and proxy are measured in turn
+	Short    bool     // fewer requests: for the counts, not for the times
+	Progress io.Writer
+}
+
+// peerCount is how many peers there are.
+const peerCount = 12
+
+// sizes are how many requests a load has in each pass.
+type sizes struct{ warm, timed, slices, traced, profiled int }
+
+func (o Options) sizes() sizes {
+	if o.Short {
+		return sizes{warm: 1500, timed: 3000, slices: 1, traced: 300, profiled: 1000}
+	}
+	return sizes{warm: 3000, timed: 20000, slices: 10, traced: 1000, profiled: 5000}
+}
+
+// Meter is one measurement: its stand-ins, and where its files are.
+type meter struct {
+	Options
+	dir       string
+	profiled  string  // a node that writes its allocations, if it is built for that
+	stacks    *stacks // nil: there are no symbols
+	peers     *peers
+	discovery *discovery
+	ids       ids
+}
+
+// Measure meters the path.
+func Measure(ctx context.Context, o Options) (*Report, error) {
+	for _, name := range o.Loads {
+		if !slices.ContainsFunc(Loads(), func(l Load) bool { return l.Name == name }) {
+			return nil, fmt.Errorf("load %q: there is none of that name", name)
+		}
+	}
+	dir, err := os.MkdirTemp("", "olivelab-path")
+	if err != nil {
+		return nil, fmt.Errorf("a place for what is built: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	m := &meter{Options: o, dir: dir}
+	if m.profiled = m.Node; m.Node == "" {
+		if m.Node, err = m.build(ctx, "node"); err != nil {
+			return nil, err
+		}
+		if m.profiled, err = m.build(ctx, "profiled-node", "-tags", profileTag); err != nil {
+			return nil, err
+		}
+	}
+	r := &Report{Go: runtime.Version(), Short: o.Short}
+	if m.stacks, err = readSymbols(m.Node); err != nil {
+		r.NotCounted = append(r.NotCounted, err.Error())
+	}
+	if m.peers, err = startPeers(peerCount); err != nil {
+		return nil, err
+	}
+	defer m.peers.close()
+	if m.discovery, err = startDiscovery(m.peers.addresses()); err != nil {
+		return nil, err
+	}
+	defer m.discovery.close()
+	for _, l := range Loads() {
+		if len(o.Loads) > 0 && !slices.Contains(o.Loads, l.Name) {
+			continue
+		}
+		f, err := m.pairs(ctx, l)
+		if err != nil {
+			return nil, err
+		}
+		missing, err := m.places(ctx, l, &f)
+		if err != nil {
+			return nil, err
+		}
+		for _, why := range missing {
+			if !slices.Contains(r.NotCounted, why.Error()) {
+				r.NotCounted = append(r.NotCounted, why.Error())
+			}
+		}
+		r.Loads = append(r.Loads, f)
+	}
+	return r, nil
+}
+
+// build builds the node from the tree, by the go command's flags.
+func (m *meter) build(ctx context.Context, name string, flags ...string) (string, error) {
+	m.say("building the %s", name)
+	program := filepath.Join(m.dir, name)
+	args := append([]string{"build", "-o", program}, flags...)
+	if m.Overlay != "" {
+		args = append(args, "-overlay", m.Overlay)
+	}
+	cmd := exec.CommandContext(ctx, "go", append(args, "./cmd/olivebridge")...)
+	cmd.Dir = m.Root
+	if said, err := cmd.CombinedOutput(); err != nil {
+		line := strings.ReplaceAll(strings.TrimSpace(string(said)), "\n", "; ")
+		return "", fmt.Errorf("building the node: %w: %s", err, line)
+	}
+	return program, nil
+}
+
+func (m *meter) say(form string, args ...any) {
+	if m.Progress != nil {
+		fmt.Fprintf(m.Progress, form+"\n", args...)
+	}
+}
+
+func (m *meter) node(ctx context.Context, program string, env ...string) (*child, error) {
+	return startNode(ctx, program, m.dir, m.peers.addresses(), m.discovery.addr, env...)
+}
+
+// pairs measures a load on node and proxy, pair by pair.
+func (m *meter) pairs(ctx context.Context, l Load) (Figures, error) {
+	f := Figures{Load: l.Name, About: l.About, Requests: m.sizes().timed}
+	var nodes, proxies []Process
+	for i := range max(m.Pairs, 1) {
+		m.say("%s: pair %d", l.Name, i+1)
+		some, err := m.pair(ctx, l)
+		if err != nil {
+			return f, err
+		}
+		nodes = append(nodes, some[0])
+		if len(some) > 1 {
+			proxies = append(proxies, some[1])
+			f.Ratios = append(f.Ratios, some[0].Micros/some[1].Micros)
+		}
+	}
+	f.Node, f.Proxy = medians(nodes), medians(proxies)
+	f.Ratio = median(f.Ratios, func(v float64) float64 { return v })
+	return f, nil
+}
+
+// pair measures a load on a new node and, if it is wanted, on a new proxy. They are loaded in turn, slice by
+// slice, so that what else the machine does strikes both alike.
+func (m *meter) pair(ctx context.Context, l Load) ([]Process, error) {
+	starts := []func() (*child, error){func() (*child, error) { return m.node(ctx, m.Node) }}
+	if len(m.Proxy) > 0 {
+		starts = append(starts, func() (*child, error) {
+			return startProxy(ctx, m.Proxy, m.peers.addresses(), m.ProxyGC)
+		})
+	}
+	var lanes []*lane
+	defer func() {
+		for _, a := range lanes {
+			a.close()
+		}
+	}()
+	s := m.sizes()
+	for i, start := range starts {
+		c, err := start()
+		if err != nil {
+			return nil, err
+		}
+		a := &lane{child: c, driver: newDriver(l, c.addr, &m.ids), name: []string{"node", "ReverseProxy"}[i]}
+		lanes = append(lanes, a)
+		if err := a.warm(ctx, s.warm); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.name, err)
+		}
+	}
+	for range s.slices {
+		for _, a := range lanes {
+			if err := a.slice(ctx, s.timed/s.slices); err != nil {
+				return nil, fmt.Errorf("%s: %w", a.name, err)
+			}
+		}
+	}
+	var some []Process
+	for _, a := range lanes {
+		some = append(some, a.process())
+	}
+	return some, nil
+}
+
+// places counts what needs a slower node: system calls, copies, and which functions they and the
+// allocations fall to. What the machine does not let it count is missing, for a reason each.
+func (m *meter) places(ctx context.Context, l Load, f *Figures) (missing []error, err error) {
+	m.say("%s: system calls, copies, functions", l.Name)
+	miss := func(err error) error {
+		if ctx.Err() != nil || errors.Is(err, errRefused) {
+			return fmt.Errorf("node: %w", err)
+		}
+		if err != nil {
+			missing = append(missing, err)
+		}
+		return nil
+	}
+	f.Calls, f.Writers, _, err = m.traced(ctx, l, false)
+	if err := miss(err); err != nil {
+		return nil, err
+	}
+	_, _, f.Copiers, err = m.traced(ctx, l, true)
+	if err := miss(err); err != nil {
+		return nil, err
+	}
+	f.Allocators, err = m.allocators(ctx, l, m.profiled)
+	if err := miss(err); err != nil {
+		return nil, err
+	}
+	f.Counts = f.count()
+	return missing, nil
+}
--- /dev/null
+++ b/internal/lab/path/report.go
@@ -0,0 +1,152 @@
+package path
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+)
+
+// Report is what the meter found.
+type Report struct {
+	Go         string    `json:"go"`
+	Short      bool      `json:"short"`
+	Loads      []Figures `json:"loads"`
+	NotCounted []string  `json:"not_counted,omitempty"` // why some figures are missing
+}
+
+// Figures are what one load costs, per request.
+type Figures struct {
+	Load       string    `json:"load"`
+	About      string    `json:"about"`
+	Requests   int       `json:"requests"` // counted, per pair
+	Node       Process   `json:"node"`
+	Proxy      Process   `json:"reverse_proxy,omitzero"`
+	Ratio      float64   `json:"ratio,omitzero"` // of processor time: the median of the pairs'
+	Ratios     []float64 `json:"ratios,omitempty"`
+	Counts     Counts    `json:"counts"`     // what the check goes by
+	Calls      []Place   `json:"calls"`      // system calls; sum: those that found nothing
+	Writers    []Place   `json:"writers"`    // calls that write to sockets, by function
+	Copiers    []Place   `json:"copiers"`    // copies between buffers, by function; sum: bytes
+	Allocators []Place   `json:"allocators"` // allocations, by function; sum: bytes
+}
+
+// Process are the figures of one process, per request: each the median of the pairs.
+type Process struct {
+	Allocations    float64 `json:"allocations"`
+	AllocatedBytes float64 `json:"allocated_bytes"`
+	Collections    float64 `json:"collections_per_1000"`
+	Reads          float64 `json:"reads"`  // calls of the read family
+	Writes         float64 `json:"writes"` // calls of the write family
+	ReadBytes      float64 `json:"read_bytes"`
+	WrittenBytes   float64 `json:"written_bytes"`
+	Waited         float64 `json:"switches_waiting"`
+	Preempted      float64 `json:"switches_preempted"`
+	UserMicros     float64 `json:"user_us"`
+	SystemMicros   float64 `json:"system_us"`
+	Micros         float64 `json:"processor_us"`
+	Busy           float64 `json:"busy"` // the part of the time that it had a processor
+}
+
+// median takes the middle of some values, by a field of theirs.
+func median[T any](some []T, of func(T) float64) float64 {
+	values := make([]float64, len(some))
+	for i, s := range some {
+		values[i] = of(s)
+	}
+	slices.SortFunc(values, cmp.Compare)
+	switch n := len(values); {
+	case n == 0:
+		return 0
+	case n%2 == 1:
+		return values[n/2]
+	default:
+		return (values[n/2-1] + values[n/2]) / 2
+	}
+}
+
+func medians(some []Process) Process {
+	m := func(of func(Process) float64) float64 { return median(some, of) }
+	return Process{
+		Allocations:    m(func(p Process) float64 { return p.Allocations }),
+		AllocatedBytes: m(func(p Process) float64 { return p.AllocatedBytes }),
+		Collections:    m(func(p Process) float64 { return p.Collections }),
+		Reads:          m(func(p Process) float64 { return p.Reads }),
+		Writes:         m(func(p Process) float64 { return p.Writes }),
+		ReadBytes:      m(func(p Process) float64 { return p.ReadBytes }),
+		WrittenBytes:   m(func(p Process) float64 { return p.WrittenBytes }),
+		Waited:         m(func(p Process) float64 { return p.Waited }),
+		Preempted:      m(func(p Process) float64 { return p.Preempted }),
+		UserMicros:     m(func(p Process) float64 { return p.UserMicros }),
+		SystemMicros:   m(func(p Process) float64 { return p.SystemMicros }),
+		Micros:         m(func(p Process) float64 { return p.Micros }),
+		Busy:           m(func(p Process) float64 { return p.Busy }),
+	}
+}
+
+// JSON writes the report for programs.
+func (r *Report) JSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+// Text writes the report for readers.
+func (r *Report) Text(w io.Writer) {
+	for _, f := range r.Loads {
+		fmt.Fprintf(w, "%s: %s, %d requests\n", f.Load, f.About, f.Requests)
+		fmt.Fprintf(w, "  %-24s %12s %14s\n", "per request", "olivebridge", "ReverseProxy")
+		row := func(name, form string, a, b float64) {
+			fmt.Fprintf(w, "  %-24s %12s %14s\n", name, fmt.Sprintf(form, a), fmt.Sprintf(form, b))
+		}
+		n, p := f.Node, f.Proxy
+		row("allocations", "%.1f", n.Allocations, p.Allocations)
+		row("bytes allocated", "%.0f", n.AllocatedBytes, p.AllocatedBytes)
+		row("collections, per 1000", "%.2f", n.Collections, p.Collections)
+		row("read calls", "%.2f", n.Reads, p.Reads)
+		row("write calls", "%.2f", n.Writes, p.Writes)
+		row("bytes read", "%.0f", n.ReadBytes, p.ReadBytes)
+		row("bytes written", "%.0f", n.WrittenBytes, p.WrittenBytes)
+		row("waits", "%.2f", n.Waited, p.Waited)
+		row("processor us, user", "%.1f", n.UserMicros, p.UserMicros)
+		row("processor us, system", "%.1f", n.SystemMicros, p.SystemMicros)
+		row("processor us", "%.1f", n.Micros, p.Micros)
+		row("busy, part of the time", "%.2f", n.Busy, p.Busy)
+		fmt.Fprintf(w, "  processor time, of ReverseProxy's: %.3f (pairs: %.3f)\n", f.Ratio, f.Ratios)
+		f.text(w)
+	}
+	for _, why := range r.NotCounted {
+		fmt.Fprintf(w, "not counted: %s\n", why)
+	}
+}
+
+// shown is how many places of a kind a reader gets to see.
+const shown = 12
+
+// text writes where the counts fall.
+func (f *Figures) text(w io.Writer) {
+	for _, part := range []struct {
+		what, sum string
+		places    []Place
+	}{
+		{"system calls under the tracer", "found nothing", f.Calls},
+		{"writes to sockets, by function", "found no room", f.Writers},
+		{"copies between buffers, by function", "bytes", f.Copiers},
+		{"allocations, by function", "bytes", f.Allocators},
+	} {
+		if len(part.places) == 0 {
+			continue
+		}
+		n, sum := sums(part.places, nil)
+		fmt.Fprintf(w, "  %s: %.2f; %s: %.2f\n", part.what, n, part.sum, sum)
+		for i, p := range part.places {
+			if i == shown {
+				fmt.Fprintf(w, "    and %d more\n", len(part.places)-shown)
+				break
+			}
+			fmt.Fprintf(w, "    %8.2f %10.2f  %s\n", p.Count, p.Sum, p.Name)
+		}
+	}
+	fmt.Fprintln(w)
+}
