Measure a whole node: one call's allocations and time over loopback

The node's own cost decides how much it serves on a part of a core, and no benchmark saw it whole. Clients and peers of this one allocate nothing for a call, so what it counts is the node's.

--- /dev/null
+++ b/internal/node/bench_test.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"olivebridge/brain"
+	"olivebridge/internal/protocol"
+	"olivebridge/internal/routing"
+)
+
+// BenchmarkNode is calls through a whole node over loopback, 16 kept client connections and twelve peers.
+// Clients and peers allocate nothing for a call, so what is allocated is the node's.
+func BenchmarkNode(b *testing.B) {
+	for _, load := range []struct {
+		name, method string
+		body, answer int
+	}{{"get", "GET", 0, 64}, {"upload", "POST", 32 << 10, 64}, {"download", "GET", 0, 64 << 10}} {
+		b.Run(load.name, func(b *testing.B) {
+			addr := benchNode(b, load.answer)
+			var left atomic.Int64
+			ask := func(n int) {
+				left.Store(int64(n))
+				var all sync.WaitGroup
+				for i := range 16 {
+					all.Go(func() { benchClient(b, addr, load.method, load.body, i, &left) })
+				}
+				all.Wait()
+			}
+			ask(20000) // connections are there, pools are full, limits have grown
+			b.ReportAllocs()
+			b.ResetTimer()
+			ask(b.N)
+		})
+	}
+}
+
+// benchNode starts a node that twelve peers stand behind, which answer so many bytes at once.
+func benchNode(b *testing.B, answer int) (addr string) {
+	c := config()
+	c.Listen, c.Sockets, c.Known.Entries = "127.0.0.1:0", 1024, nil
+	class := c.Settings.Classes[0]
+	class.Effect = brain.Pure
+	c.Settings.Classes = append(c.Settings.Classes, class)
+	c.Names = protocol.Names{Classes: map[string]int{"book": 0, "look": 1}, Methods: []string{"POST", "GET"}}
+	whole := []byte("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Cache: hit\r\nContent-Length: " +
+		strconv.Itoa(answer) + "\r\n\r\n" + strings.Repeat("x", answer))
+	for i := range 12 {
+		l := benchListener(b)
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go benchPeer(conn, whole)
+			}
+		}()
+		c.Known.Entries = append(c.Known.Entries, routing.Entry{Name: fmt.Sprint("s-", i), Addr: l.Addr().String(),
+			Server: brain.Server{ID: brain.ServerID(i + 1), Weight: 1, State: brain.Ready}})
+	}
+	l := benchListener(b)
+	n, err := Start(c, Parts{Listen: func(string) (net.Listener, error) { return l, nil },
+		Follow: func(routing.Watcher) routing.Watcher { return unchanged{} }})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(n.Abort)
+	return l.Addr().String()
+}
+
+// unchanged is an upstream group without news.
+type unchanged struct{}
+
+func (unchanged) Watch(ctx context.Context, _ func(routing.Group)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func benchListener(b *testing.B) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	return l
+}
+
+// benchPeer answers each whole message with the same bytes.
+func benchPeer(conn net.Conn, answer []byte) {
+	defer conn.Close()
+	for buf := make([]byte, 128<<10); ; {
+		if _, err := benchRead(conn, buf); err != nil {
+			return
+		}
+		if _, err := conn.Write(answer); err != nil {
+			return
+		}
+	}
+}
+
+// benchClient asks one call after the other, until none is left.
+func benchClient(b *testing.B, addr, method string, body, nth int, left *atomic.Int64) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer conn.Close()
+	class := map[string]string{"GET": "look", "POST": "book"}[method]
+	head := fmt.Sprintf("%s /api/items?user=u%d HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: %02d%016x-00000000\r\n"+
+		"X-Call-Class: %s\r\nX-Budget: 1.500\r\nUser-Agent: bench/1\r\nAccept: */*\r\n", method, nth, nth, time.Now().UnixNano(), class)
+	if body > 0 {
+		head += fmt.Sprintf("Content-Length: %d\r\n", body)
+	}
+	raw := []byte(head + "\r\n" + strings.Repeat("x", body))
+	number := bytes.Index(raw, []byte("-00000000")) + 1
+	for buf, i := make([]byte, 128<<10), 0; left.Add(-1) >= 0; i++ {
+		for d, rest := number+7, i; d >= number; d, rest = d-1, rest/10 {
+			raw[d] = byte('0' + rest%10)
+		}
+		if _, err := conn.Write(raw); err != nil {
+			b.Error(err)
+			return
+		}
+		if got, err := benchRead(conn, buf); err != nil || !bytes.HasPrefix(got, []byte("HTTP/1.1 200")) {
+			b.Errorf("%.60q, %v", got, err)
+			return
+		}
+	}
+}
+
+// benchRead reads one whole message into buf.
+func benchRead(conn net.Conn, buf []byte) ([]byte, error) {
+	for n, whole := 0, 0; ; {
+		k, err := conn.Read(buf[n:])
+		if err != nil {
+			return nil, err
+		}
+		n += k
+		if end := bytes.Index(buf[:n], []byte("\r\n\r\n")); whole == 0 && end >= 0 {
+			whole = end + 4
+			if at := bytes.Index(buf[:end], []byte("Content-Length: ")); at >= 0 {
+				length := 0
+				for _, c := range buf[at+len("Content-Length: ") : end] {
+					if c < '0' || c > '9' {
+						break
+					}
+					length = length*10 + int(c-'0')
+				}
+				whole += length
+			}
+		}
+		if whole > 0 && n >= whole {
+			return buf[:n], nil
+		}
+	}
+}
