Carry a try without contexts, timers and header maps of its own

A small GET cost 101 allocations: contexts and timers of a try 20, header maps cloned and written 12, the answer's head through http.ReadResponse 20, two timers and a channel in Take 10, closures and events 8, the look at an idle connection 3. A try is now its own context, which ends only when it is called off, and its time is the connection's deadline; the front renders the head once, with room before the body for the budget's line, so that a body is copied by nobody; answers are read into buffers that have one owner; the answer's head is parsed as it came.

--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -42,24 +42,27 @@
 // a header's values, query is the raw query. Any error deserves a plain 4xx
 // answer and no try; a *MethodError says that it should be 405.
 func (n Names) ParseCall(method string, header func(name string) []string, query string) (routing.Call, error) {
-	fields := map[string]string{}
-	for _, name := range []string{HeaderID, HeaderClass, HeaderCaller, HeaderBudget, HeaderAgain} {
-		switch v := header(name); {
+	var id, className, caller, left, again string
+	for _, f := range [...]struct {
+		name string
+		to   *string
+	}{{HeaderID, &id}, {HeaderClass, &className}, {HeaderCaller, &caller}, {HeaderBudget, &left}, {HeaderAgain, &again}} {
+		switch v := header(f.name); {
 		case len(v) > 1:
-			return routing.Call{}, fmt.Errorf("%s: given %d times", name, len(v))
+			return routing.Call{}, fmt.Errorf("%s: given %d times", f.name, len(v))
 		case len(v) == 1:
-			fields[name] = v[0]
+			*f.to = v[0]
 		}
 	}
-	if !validID(fields[HeaderID]) { // an odd one must not reach a peer
-		return routing.Call{}, fmt.Errorf("%s: missing or malformed: %.80q", HeaderID, fields[HeaderID])
+	if !validID(id) { // an odd one must not reach a peer
+		return routing.Call{}, fmt.Errorf("%s: missing or malformed: %.80q", HeaderID, id)
 	}
-	class, ok := n.Classes[fields[HeaderClass]]
+	class, ok := n.Classes[className]
 	if !ok {
-		return routing.Call{}, fmt.Errorf("%s: missing or unknown: %q", HeaderClass, fields[HeaderClass])
+		return routing.Call{}, fmt.Errorf("%s: missing or unknown: %q", HeaderClass, className)
 	}
 	if class >= len(n.Methods) || method != n.Methods[class] {
-		e := &MethodError{Class: fields[HeaderClass], Method: method}
+		e := &MethodError{Class: className, Method: method}
 		if class < len(n.Methods) {
 			e.Allow = n.Methods[class]
 		}
@@ -67,11 +70,11 @@
 	}
 	tenant := -1
 	if len(n.Callers) > 0 {
-		if tenant, ok = n.Callers[fields[HeaderCaller]]; !ok {
-			return routing.Call{}, fmt.Errorf("%s: missing or unknown: %q", HeaderCaller, fields[HeaderCaller])
+		if tenant, ok = n.Callers[caller]; !ok {
+			return routing.Call{}, fmt.Errorf("%s: missing or unknown: %q", HeaderCaller, caller)
 		}
 	}
-	budget, err := ParseBudget(fields[HeaderBudget])
+	budget, err := ParseBudget(left)
 	if err != nil {
 		return routing.Call{}, err
 	}
@@ -80,7 +83,7 @@
 		return routing.Call{}, err
 	}
 	return routing.Call{
-		Name: fields[HeaderID], Class: class, Tenant: tenant, Key: key, Repeat: fields[HeaderAgain] == "1", Budget: budget,
+		Name: id, Class: class, Tenant: tenant, Key: key, Repeat: again == "1", Budget: budget,
 	}, nil
 }
 
@@ -107,8 +110,11 @@
 
 // FormatSeconds writes a time as seconds with decimals, and never as less than
 // a millisecond.
-func FormatSeconds(d time.Duration) string {
-	return strconv.FormatFloat(max(d, time.Millisecond).Seconds(), 'f', 3, 64)
+func FormatSeconds(d time.Duration) string { return string(AppendSeconds(nil, d)) }
+
+// AppendSeconds appends what FormatSeconds writes.
+func AppendSeconds(b []byte, d time.Duration) []byte {
+	return strconv.AppendFloat(b, max(d, time.Millisecond).Seconds(), 'f', 3, 64)
 }
 
 // keyOf hashes the key that a raw query carries; 0 means none. One that stands
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
@@ -12,12 +11,15 @@
 type openCall struct {
 	Call
 	id       brain.RequestID
-	answer   chan Answer // holds one, so that giving it never waits
+	answer   Answer // once given: before wait is told, and never again
+	wait     *wait
 	answered bool        // it is given, or nobody waits for it
 	over     atomic.Bool // the same, for the carrier
 	deadline brain.Time
-	tries    []context.CancelCauseFunc // by attempt; nil once its outcome is in
-	out      int
+	tries    []*attempt // by number
+	out      int        // those whose outcome is not in
+	first    attempt
+	few      [2]*attempt // room for tries
 }
 
 // admitEvent is the second stage: the call enters the table and the Balancer
@@ -31,13 +33,14 @@
 	if _, open := r.names[e.Name]; open && e.Name != "" {
 		// Guards against a second effect, and the first call's answer going to
 		// another client. An error, not a reject: the first may run.
-		e.answer <- Answer{Verdict: Twice}
 		e.answered = true
+		e.give(Answer{Verdict: Twice})
 		return
 	}
 	r.names[e.Name] = struct{}{}
 	r.lastID++
 	e.id = r.lastID
+	e.tries = e.few[:0]
 	e.deadline = r.brainTime(e.Arrived.Add(e.Budget - answerMargin))
 	r.open[e.id] = e
 	r.brain.Request(now, brain.Request{
--- /dev/null
+++ b/internal/routing/attempt.go
@@ -0,0 +1,113 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"olivebridge/brain"
+)
+
+// Interrupter ends what a carrier waits for. Interrupt must not wait itself.
+type Interrupter interface{ Interrupt() }
+
+// attempt is a try from its sending until its outcome is in. It is its own
+// context, which ends when the try is called off or the node ends, and costs
+// nothing unless somebody asks for it. It has no timer: Until is the carrier's.
+type attempt struct {
+	Try
+	router *Router
+	begun  time.Time
+
+	// the outcome; of the try's goroutine until it is posted, then of the decisions
+	result  TryResult
+	latency time.Duration
+	in      bool
+
+	mu    sync.Mutex
+	cause error         // why it ended; nil: it goes on
+	done  chan struct{} // nil until asked for
+	told  Interrupter   // of the carrier; nil: none
+}
+
+// run is the try's goroutine: exactly one outcome comes back.
+func (a *attempt) run() {
+	r := a.router
+	defer r.tasks.Done()
+	a.carry()
+	a.latency = time.Since(a.begun)
+	r.post(outcomeEvent{a})
+}
+
+// carry lets the carrier bring the try to its peer.
+func (a *attempt) carry() {
+	defer a.router.caught("task")
+	if a.Peer == nil {
+		a.result.Result = brain.Moot // the Balancer and the table disagree: nothing was sent
+		return
+	}
+	a.result.Result = brain.Reset // after a panic it may have run
+	a.result = a.router.carrier.Try(a, a.Try)
+}
+
+// caught keeps a panic from ending the node; it is to be deferred.
+func (r *Router) caught(in string) {
+	if p := recover(); p != nil {
+		r.count.Panics.Add(1)
+		r.log.Error("panic", "in", in, "value", fmt.Sprint(p), "stack", string(debug.Stack()))
+	}
+}
+
+// end ends the context for a reason; the first counts.
+func (a *attempt) end(cause error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cause != nil {
+		return
+	}
+	a.cause = cause
+	if a.done != nil {
+		close(a.done)
+	}
+	if a.told != nil { // under the lock: once OnEnd has taken it back, nothing is interrupted any more
+		a.told.Interrupt()
+	}
+}
+
+// OnEnd has i interrupted when the context ends, in place of whoever was to be
+// before; nil: nobody. It reports whether the context goes on.
+func (a *attempt) OnEnd(i Interrupter) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.told = i
+	return a.cause == nil
+}
+
+// Deadline implements context.Context: it has none.
+func (a *attempt) Deadline() (time.Time, bool) { return time.Time{}, false }
+
+// Done implements context.Context.
+func (a *attempt) Done() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.done == nil {
+		if a.done = make(chan struct{}); a.cause != nil {
+			close(a.done)
+		}
+	}
+	return a.done
+}
+
+// Err implements context.Context. It tells the cause: context.Cause does too, then.
+func (a *attempt) Err() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cause
+}
+
+// Value implements context.Context: it carries none.
+func (a *attempt) Value(any) any { return nil }
+
+var _ context.Context = (*attempt)(nil)
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -67,8 +67,10 @@
 }
 
 // Carrier brings tries and probes to peers. Its methods block until the end is
-// known, at the latest at the context's end; each is called on a goroutine of
-// its own. A result that says "never ran" must rest on proof.
+// known, at the latest at the context's end, or when the try's Until has come;
+// each is called on a goroutine of its own. A result that says "never ran" must
+// rest on proof. A try's context has a method OnEnd(Interrupter) bool, which
+// costs less than to wait for its end does.
 type Carrier interface {
 	Try(ctx context.Context, t Try) TryResult
 	Probe(ctx context.Context, p *Peer) brain.Result
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -8,28 +8,29 @@
 
 // outcomeEvent is the fifth stage: a try is over. A served one is relayed
 // before the Balancer hears of it, so that it knows the call is closed.
-type outcomeEvent struct {
-	brain.Outcome
-	reply any
-}
+type outcomeEvent struct{ a *attempt }
 
-func (o outcomeEvent) call() brain.RequestID { return o.ID }
+func (ev outcomeEvent) call() brain.RequestID { return ev.a.Call }
 
-func (o outcomeEvent) handle(r *Router) {
-	e := r.open[o.ID]
-	if e == nil || e.tries[o.Attempt] == nil {
+func (ev outcomeEvent) handle(r *Router) {
+	a := ev.a
+	e := r.open[a.Call]
+	if e == nil || a.in {
 		return
 	}
-	e.tries[o.Attempt](nil) // frees the context
-	e.tries[o.Attempt] = nil
+	a.in = true
 	e.out--
+	o := brain.Outcome{ID: a.Call, Attempt: a.Attempt, Latency: a.latency, Result: a.result.Result}
+	if a.Peer != nil {
+		o.Server = a.Peer.ID
+	}
 	r.count.outcome(o.Result)
 	if o.Result == brain.OK {
-		r.relay(e, Answer{Verdict: Served, Reply: o.reply})
+		r.relay(e, Answer{Verdict: Served, Reply: a.result.Reply})
 	}
 	o.Closed = e.answered
 	defer r.book(e)
-	r.brain.Outcome(r.now(), o.Outcome)
+	r.brain.Outcome(r.now(), o)
 }
 
 // relay gives a call its one answer. Outcome, hang-up and deadline may race:
@@ -38,10 +39,16 @@
 	if !e.answered {
 		e.answered = true
 		e.over.Store(true)
-		e.answer <- a
+		e.give(a)
 	}
 }
 
+// give lets the front go on with an answer.
+func (e *openCall) give(a Answer) {
+	e.answer = a
+	e.wait.told <- struct{}{}
+}
+
 // Refuse implements brain.Host. The answer leaves at once.
 func (r *Router) Refuse(id brain.RequestID, after time.Duration) {
 	if e := r.open[id]; e != nil {
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -1,7 +1,7 @@
 package routing
 
 import (
-	"context"
+	"time"
 
 	"olivebridge/brain"
 )
@@ -10,7 +10,7 @@
 // Balancer chose and sends the try off. Its outcome comes back as an event even
 // if nothing can be sent, since a Host must not call back.
 func (r *Router) Send(id brain.RequestID, to brain.ServerID, cut brain.Time) {
-	e, p := r.open[id], r.peers[to]
+	e := r.open[id]
 	if e == nil {
 		return
 	}
@@ -18,9 +18,14 @@
 	if cut != 0 {
 		until = min(until, cut)
 	}
-	ctx, cancel := context.WithCancelCause(r.ctx)
-	e.tries = append(e.tries, cancel)
+	a := &e.first // most calls have no other
+	if len(e.tries) > 0 {
+		a = new(attempt)
+	}
+	a.Try = Try{Call: id, Attempt: len(e.tries), Peer: r.peers[to], Until: r.instant(until), Over: &e.over, Payload: e.Payload}
+	a.router, a.begun = r, time.Now()
+	e.tries = append(e.tries, a)
 	e.out++
 	r.count.Tries.Add(1)
-	r.send(ctx, Try{Call: id, Attempt: len(e.tries) - 1, Peer: p, Until: r.instant(until), Over: &e.over, Payload: e.Payload})
+	r.send(a)
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -43,6 +43,7 @@
 	advice  atomic.Int64 // set.MaxRetryAfter, for Take
 	events  chan event
 	stopped chan struct{}
+	waits   sync.Pool // of *wait
 
 	set    brain.Settings
 	ctx    context.Context
@@ -53,7 +54,7 @@
 	lastID brain.RequestID
 	watch  *watch // nil: none runs
 	timers map[*wakeEvent]struct{}
-	tasks  sync.WaitGroup // what spawn started
+	tasks  sync.WaitGroup // what spawn and send started
 }
 
 // New makes a Router; Run starts its decisions.
@@ -93,6 +94,7 @@
 func (r *Router) Run(ctx context.Context) error {
 	defer r.tasks.Wait()
 	defer r.stopTimers()
+	defer r.callOff()
 	defer close(r.stopped)
 	r.ctx = ctx
 	var err error
@@ -146,14 +148,15 @@
 	r.tasks.Add(1)
 	go func() {
 		defer r.tasks.Done()
+		whole := false
 		defer func() {
-			if p := recover(); p != nil {
-				r.count.Panics.Add(1)
-				r.log.Error("panic", "in", "task", "value", fmt.Sprint(p), "stack", string(debug.Stack()))
+			if !whole {
 				failed()
 			}
 		}()
+		defer r.caught("task")
 		f(ctx)
+		whole = true
 	}()
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -183,10 +183,10 @@
 // given before anybody waited for it: the call then hung until its time was up.
 func TestAnswerBeforeTheWait(t *testing.T) {
 	r := newRouter(nil, listed())
-	e := &openCall{Call: call(safe, time.Minute), answer: make(chan Answer, 1)}
+	e := &openCall{Call: call(safe, time.Minute), wait: r.newWait()}
 	r.relay(e, Answer{Verdict: Reject})
 	r.relay(e, Answer{Verdict: Served}) // the second of a race counts for nothing
-	if a, ok := r.await(t.Context(), e); !ok || a.Verdict != Reject || len(e.answer) != 0 {
+	if a, ok := r.await(t.Context(), e); !ok || a.Verdict != Reject || len(e.wait.told) != 0 {
 		t.Errorf("%+v, %v", a, ok)
 	}
 }
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -1,9 +1,9 @@
 package routing
 
 import (
-	"context"
 	"errors"
-	"time"
+	"maps"
+	"slices"
 
 	"olivebridge/brain"
 )
@@ -17,30 +17,24 @@
 
 // send is the fourth stage: the carrier takes the try to its peer on a
 // goroutine of its own, and exactly one outcome comes back.
-func (r *Router) send(ctx context.Context, t Try) {
-	start := time.Now()
-	over := func(res TryResult) {
-		o := brain.Outcome{ID: t.Call, Attempt: t.Attempt, Latency: time.Since(start), Result: res.Result}
-		if t.Peer != nil {
-			o.Server = t.Peer.ID
-		}
-		r.post(outcomeEvent{o, res.Reply})
-	}
-	r.spawn(func(context.Context) {
-		if t.Peer == nil {
-			over(TryResult{Result: brain.Moot}) // the Balancer and the table disagree: nothing was sent
-			return
-		}
-		ctx, stop := context.WithDeadlineCause(ctx, t.Until, ErrTimeUp)
-		defer stop()
-		over(r.carrier.Try(ctx, t))
-	}, func() { over(TryResult{Result: brain.Reset}) }) // after a panic it may have run
+func (r *Router) send(a *attempt) {
+	r.tasks.Add(1)
+	go a.run()
 }
 
 // Cancel implements brain.Host.
 func (r *Router) Cancel(id brain.RequestID, attempt int) {
-	if e := r.open[id]; e != nil && attempt >= 0 && attempt < len(e.tries) && e.tries[attempt] != nil {
+	if e := r.open[id]; e != nil && attempt >= 0 && attempt < len(e.tries) && !e.tries[attempt].in {
 		r.count.CalledOff.Add(1)
-		e.tries[attempt](ErrCalledOff)
+		e.tries[attempt].end(ErrCalledOff)
+	}
+}
+
+// callOff ends the tries of all open calls, as the node ends.
+func (r *Router) callOff() {
+	for _, id := range slices.Sorted(maps.Keys(r.open)) {
+		for _, a := range r.open[id].tries {
+			a.end(errStopped)
+		}
 	}
 }
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -28,37 +28,75 @@
 			r.count.HungUp.Add(1)
 		}
 	}()
-	e := &openCall{Call: c, answer: make(chan Answer, 1)}
-	end := time.NewTimer(time.Until(c.Arrived.Add(c.Budget / queueShare)))
+	e := &openCall{Call: c, wait: r.newWait()}
+	if a, ok, in := r.handIn(ctx, e); !in {
+		return a, ok
+	}
+	return r.await(ctx, e)
+}
+
+// handIn queues a call for the decisions. If it is not in, it never ran.
+func (r *Router) handIn(ctx context.Context, e *openCall) (a Answer, ok, in bool) {
+	select {
+	case <-r.stopped:
+		return Answer{Verdict: Reject}, true, false
+	default:
+	}
+	select {
+	case r.events <- admitEvent{e}:
+		return Answer{}, false, true
+	default:
+	}
+	end := time.NewTimer(time.Until(e.Arrived.Add(e.Budget / queueShare)))
 	defer end.Stop()
 	select {
 	case r.events <- admitEvent{e}:
-	case <-end.C: // guards against an overfull queue: it was never admitted, so it never ran
+		return Answer{}, false, true
+	case <-end.C: // guards against an overfull queue
 		r.count.QueueFull.Add(1)
-		return Answer{Verdict: Reject, RetryAfter: time.Duration(r.advice.Load())}, true
+		return Answer{Verdict: Reject, RetryAfter: time.Duration(r.advice.Load())}, true, false
 	case <-r.stopped:
-		return Answer{Verdict: Reject}, true
+		return Answer{Verdict: Reject}, true, false
 	case <-ctx.Done():
-		return Answer{}, false
+		return Answer{}, false, false
 	}
-	return r.await(ctx, e)
+}
+
+// wait is what a front waits on for the answer to a call. It is used again
+// only by the front that has heard of its answer: nothing tells it any more then.
+type wait struct {
+	told  chan struct{} // holds one, so that telling never waits
+	guard *time.Timer
+}
+
+func (r *Router) newWait() *wait {
+	if w, ok := r.waits.Get().(*wait); ok {
+		return w
+	}
+	w := &wait{told: make(chan struct{}, 1), guard: time.NewTimer(time.Hour)}
+	w.guard.Stop()
+	return w
 }
 
 // await waits for a call's answer until its time is up. The answer may be there
 // already: the decisions can be done with a call before its front waits for it.
 func (r *Router) await(ctx context.Context, e *openCall) (a Answer, ok bool) {
-	end := time.NewTimer(time.Until(e.Arrived.Add(e.Budget + guardDelay)))
-	defer end.Stop()
+	w := e.wait
+	w.guard.Reset(time.Until(e.Arrived.Add(e.Budget + guardDelay)))
 	select {
-	case a = <-e.answer:
+	case <-w.told:
+		a = e.answer
+		w.guard.Stop()
+		r.waits.Put(w)
 		return a, true
-	case <-end.C: // guards against a call that the decisions have lost, in a panic say
+	case <-w.guard.C: // guards against a call that the decisions have lost, in a panic say
 		r.count.GuardAnswers.Add(1)
 		a = Answer{Verdict: Overdue}
 		ok = true
 	case <-ctx.Done():
 	case <-r.stopped: // the node ends at once, and the client connection with it
 	}
+	w.guard.Stop()
 	r.post(hangUpEvent{e})
 	return a, ok
 }
--- a/internal/transport/answer.go
+++ b/internal/transport/answer.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"net/http/httputil"
 	"strings"
 )
@@ -25,49 +24,50 @@
 
 // answer is a whole answer of a peer.
 type answer struct {
-	status int
-	header http.Header
-	body   []byte
-	last   bool // the peer ends the connection with it
+	answerHead
+	body []byte
+	buf  *buffer // that body stands in; nil: none of the carrier's
 }
 
-// readAnswer reads the one answer to a request, of at most most bytes. Any error but errSpoilt is one
-// of reading. It guards calls against being served with what no peer made for
-// them: http.ReadResponse alone lets two lengths in one head pass.
-func readAnswer(in *bufio.Reader, method string, most int64) (*answer, error) {
+// readAnswer reads the one answer to a request, of at most most bytes, into a
+// buffer of home's. Any error but errSpoilt is one of reading.
+func readAnswer(in *bufio.Reader, home *buffers, most int64) (a answer, err error) {
 	for room := maxHead; ; {
 		head, err := readHead(in, room)
 		if err != nil {
-			return nil, err
+			return a, err
 		}
 		room -= len(head)
-		var f framing
-		if f.read(head); f.torn {
-			return nil, spoilt("two lengths, or a folded line")
-		}
-		resp, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(head), 512), &http.Request{Method: method})
-		if err != nil {
-			return nil, spoilt("head")
+		if a.answerHead, err = parseHead(string(head)); err != nil {
+			return a, err
 		}
 		switch {
-		case resp.StatusCode == http.StatusSwitchingProtocols || resp.StatusCode < 100:
-			return nil, spoilt("status")
-		case resp.StatusCode < 200: // ahead of the answer
-			if f.skip > 0 || f.over {
-				return nil, spoilt("a body ahead of the answer")
+		case a.status == 101 || a.status < 100:
+			return a, spoilt("status")
+		case a.status < 200: // ahead of the answer
+			if a.length > 0 || a.chunked {
+				return a, spoilt("a body ahead of the answer")
 			}
 			continue
 		}
-		a := &answer{status: resp.StatusCode, header: resp.Header, last: resp.Close}
-		a.body, err = readAnswerBody(in, resp, most)
-		return a, err
+		return a, a.readBody(in, home, most)
 	}
 }
 
-// readHead reads the bytes of a head, the empty line included. It gives up at
-// the first that cannot be one's: noise need not have an end.
+// readHead reads the bytes of a head, the empty line included; they hold until
+// the next read. It gives up at the first that cannot be one's: noise need not
+// have an end.
 func readHead(in *bufio.Reader, room int) ([]byte, error) {
 	const start = "HTTP/1."
+	if _, err := in.Peek(1); err != nil {
+		return nil, err
+	}
+	if got, _ := in.Peek(in.Buffered()); bytes.HasPrefix(got, []byte(start)) { // most heads come whole
+		if end := bytes.Index(got, []byte("\n\r\n")) + len("\n\r\n"); end >= len("\n\r\n") && end <= room {
+			in.Discard(end)
+			return got[:end], nil
+		}
+	}
 	var head []byte
 	for len(head) < len(start) {
 		b, err := in.ReadByte()
@@ -96,26 +96,27 @@
 	}
 }
 
-func readAnswerBody(in *bufio.Reader, resp *http.Response, most int64) (body []byte, err error) {
+// readBody reads what follows the head.
+func (a *answer) readBody(in *bufio.Reader, home *buffers, most int64) (err error) {
 	switch {
-	case resp.Body == http.NoBody:
-		return nil, nil
-	case resp.ContentLength > most:
-		return nil, errOversize
-	case resp.ContentLength >= 0:
-		body = make([]byte, resp.ContentLength)
-		_, err = io.ReadFull(in, body)
-		return body, err
-	case len(resp.TransferEncoding) > 0:
-		if body, err = readBounded(httputil.NewChunkedReader(in), most); err == nil {
+	case a.status == 204 || a.status == 304: // have none
+	case a.chunked:
+		if a.body, err = readBounded(httputil.NewChunkedReader(in), most); err == nil {
 			err = skipTrailer(in)
 		}
-	case strings.EqualFold(resp.Header.Get("Connection"), "close"):
-		body, err = readBounded(in, most)
+	case a.length > most:
+		err = errOversize
+	case a.length > 0:
+		a.buf = home.take(int(a.length))
+		a.body = a.buf.b[:a.length]
+		_, err = io.ReadFull(in, a.body)
+	case a.length == 0:
+	case strings.EqualFold(a.first("Connection"), "close"):
+		a.body, err = readBounded(in, most)
 	default: // the end of the connection would be no sign that it is whole
 		err = spoilt("no length")
 	}
-	return body, err
+	return err
 }
 
 func readBounded(r io.Reader, most int64) ([]byte, error) {
--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -21,7 +20,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	served := routing.Answer{Verdict: routing.Served, Reply: &reply{header: http.Header{}, body: []byte("hi")}}
+	served := routing.Answer{Verdict: routing.Served, Reply: &reply{body: []byte("hi")}}
 	f := NewFront(l, protocol.Names{Classes: map[string]int{"book": 0}, Methods: []string{"POST"}},
 		taker(func(context.Context, routing.Call) (routing.Answer, bool) { return served, true }),
 		ClientBounds{Open: 10, Idle: 10}, slog.New(slog.DiscardHandler))
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -2,14 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
-	"maps"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +31,7 @@
 	config  atomic.Pointer[CarrierConfig]
 	pool    *pool
 	readers sync.Pool // a connection needs its buffer only while it carries a try
+	buffers buffers   // of the answers' bodies
 }
 
 // NewCarrier makes a Carrier.
@@ -68,46 +65,51 @@
 // Try implements routing.Carrier.
 func (k *Carrier) Try(ctx context.Context, t routing.Try) routing.TryResult {
 	m, ok := t.Payload.(*message)
-	if !ok {
+	if !ok || !m.hold() { // its front has done with it: the call is over
 		return routing.TryResult{Result: brain.Moot}
 	}
-	header := maps.Clone(m.header)
-	header[protocol.HeaderBudget] = []string{protocol.FormatSeconds(time.Until(t.Until))}
-	return k.exchange(ctx, t.Peer, m, header, t.Over)
+	defer m.release()
+	return k.exchange(ctx, t, m, true)
 }
 
 // Probe implements routing.Carrier.
 func (k *Carrier) Probe(ctx context.Context, p *routing.Peer) brain.Result {
-	ctx, stop := context.WithTimeoutCause(ctx, 4*k.config.Load().ConnectTimeout, routing.ErrTimeUp)
-	defer stop()
-	m := &message{method: http.MethodGet, target: protocol.PathLive, host: p.Addr}
-	return k.exchange(ctx, p, m, http.Header{}, nil).Result
+	t := routing.Try{Peer: p, Until: time.Now().Add(4 * k.config.Load().ConnectTimeout)}
+	return k.exchange(ctx, t, newMessage(&k.buffers, http.MethodGet, protocol.PathLive, p.Addr, nil, 0), false).Result
 }
 
 // exchange sends one message to a peer, at most once, and waits for the answer.
 // A try whose call is over by the time that its connection is there never
-// leaves: a copy may find that the first has been answered.
-func (k *Carrier) exchange(ctx context.Context, p *routing.Peer, m *message, header http.Header,
-	over *atomic.Bool) routing.TryResult {
-	c, err := k.pool.get(ctx, p)
+// leaves: a copy may find that the first has been answered. told: the peer is
+// told the time left.
+func (k *Carrier) exchange(ctx context.Context, t routing.Try, m *message, told bool) routing.TryResult {
+	c, err := k.pool.get(ctx, t.Peer, t.Until)
+	now := time.Now()
+	cause := causeOf(ctx, t.Until, now)
 	switch {
-	case err != nil && (context.Cause(ctx) != nil || errors.Is(err, errNoRoom)):
+	case err != nil && (cause != nil || errors.Is(err, errNoRoom)):
 		return routing.TryResult{Result: brain.Moot} // not the peer's doing
 	case err != nil:
 		return routing.TryResult{Result: brain.ConnectFailed}
-	case ctx.Err() != nil || over != nil && over.Load():
+	case cause != nil || t.Over != nil && t.Over.Load():
 		k.pool.put(c)
 		return routing.TryResult{Result: brain.Moot}
-	case !p.OpenFor(time.Now(), k.config.Load().DrainGrace):
+	case !t.Peer.OpenFor(now, k.config.Load().DrainGrace):
 		c.end("not-sent")
 		return routing.TryResult{Result: brain.Moot}
 	}
-	stop := context.AfterFunc(ctx, c.interrupt)
-	request := m.bytes(header)
-	if n, _ := c.Write(request); n < len(request) {
+	c.SetDeadline(t.Until)
+	watch := watchEnd(ctx, c)
+	var budget time.Duration
+	if told {
+		budget = max(t.Until.Sub(now), 1)
+	}
+	request, own := m.compose(budget)
+	n, _ := c.Write(request)
+	if m.wrote(own); n < len(request) {
 		// Its last byte was never written, which proves that it never ran.
-		stop()
-		cause := context.Cause(ctx)
+		watch.end()
+		cause := causeOf(ctx, t.Until, time.Now())
 		c.end(reasonOf(cause, "reset"))
 		if cause != nil {
 			return routing.TryResult{Result: brain.Moot}
@@ -116,14 +118,14 @@
 	}
 	in := k.readers.Get().(*bufio.Reader)
 	in.Reset(c)
-	a, err := readAnswer(in, m.method, int64(max(k.config.Load().MaxAnswer, protocol.MaxBody)))
+	a, err := readAnswer(in, &k.buffers, int64(max(k.config.Load().MaxAnswer, protocol.MaxBody)))
 	surplus := in.Buffered() > 0
 	in.Reset(nil)
 	k.readers.Put(in)
-	undisturbed := stop()
+	undisturbed := watch.end()
 	switch {
 	case err != nil:
-		return routing.TryResult{Result: c.ended(err, context.Cause(ctx))}
+		return routing.TryResult{Result: c.ended(err, causeOf(ctx, t.Until, time.Now()))}
 	case surplus: // guards the next call: it may be taken for its answer
 		c.end("surplus")
 	case a.last:
@@ -133,11 +135,24 @@
 	default:
 		k.pool.put(c)
 	}
-	res := protocol.ResultOf(a.status, a.header[protocol.HeaderRejected])
+	res := protocol.ResultOf(a.status, a.values(protocol.HeaderRejected))
+	p := &reply{fields: a.endToEnd(), body: a.body, buf: a.buf, home: &k.buffers}
 	if res != brain.OK {
+		p.free()
 		return routing.TryResult{Result: res}
 	}
-	return routing.TryResult{Result: brain.OK, Reply: &reply{header: endToEnd(a.header), body: a.body}}
+	return routing.TryResult{Result: brain.OK, Reply: p}
+}
+
+// causeOf says why a try is given up; nil: it is not.
+func causeOf(ctx context.Context, until, now time.Time) error {
+	switch {
+	case ctx.Err() != nil:
+		return context.Cause(ctx)
+	case !now.Before(until):
+		return routing.ErrTimeUp
+	}
+	return nil
 }
 
 // ended closes a connection that brought no whole answer and says what that
@@ -173,17 +188,3 @@
 		return "called-off"
 	}
 }
-
-// bytes writes a message as it goes to a peer.
-func (m *message) bytes(header http.Header) []byte {
-	var b bytes.Buffer
-	b.Grow(512 + len(m.body))
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.method, m.target, m.host)
-	if len(m.body) > 0 || m.method != http.MethodGet {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(m.body)) + "\r\n")
-	}
-	header.Write(&b) // to a buffer: no error
-	b.WriteString("\r\n")
-	b.Write(m.body)
-	return b.Bytes()
-}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -5,11 +5,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -59,6 +57,7 @@
 	end     context.CancelFunc
 	badly   atomic.Int64 // requests answered with a plain 4xx
 	shed    atomic.Int64 // requests turned away for want of descriptors
+	buffers buffers      // of the calls
 }
 
 // NewFront makes a front on l.
@@ -180,6 +179,7 @@
 		return
 	}
 	a, ok := f.taker.Take(r.Context(), call)
+	call.Payload.(*message).release()
 	if !ok { // nobody should read it, but net/http must not make it an empty 200
 		a = routing.Answer{Verdict: routing.Failed}
 	}
@@ -227,28 +227,44 @@
 	if r.ContentLength > protocol.MaxBody {
 		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
 	}
-	body, err := readBody(r.Body, r.ContentLength)
+	m, err := f.message(r)
 	switch {
+	case err == errTooLarge:
+		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
 	case err != nil:
 		return call, http.StatusBadRequest, fmt.Errorf("body: %w", err)
-	case len(body) > protocol.MaxBody:
-		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
-	case len(body) > 0 && r.Method == http.MethodGet: // a peer that reads none would take it for a request
+	case len(m.body) > 0 && r.Method == http.MethodGet: // a peer that reads none would take it for a request
 		return call, http.StatusBadRequest, errors.New("body: none belongs to a GET")
 	}
 	call.Arrived = time.Now()
 	k.requestRead()
-	call.Payload = &message{
-		method: r.Method, target: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body,
-	}
+	call.Payload = m
 	return call, 0, nil
 }
 
+// message reads a request whole.
+func (f *Front) message(r *http.Request) (*message, error) {
+	if r.ContentLength >= 0 {
+		m := newMessage(&f.buffers, r.Method, r.RequestURI, r.Host, r.Header, int(r.ContentLength))
+		if r.ContentLength > 0 {
+			return m, m.readBody(r.Body)
+		}
+		return m, nil
+	}
+	body, err := readChunks(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	m := newMessage(&f.buffers, r.Method, r.RequestURI, r.Host, r.Header, len(body))
+	copy(m.body, body)
+	return m, nil
+}
+
 // answer writes the one final answer.
 func (f *Front) answer(w http.ResponseWriter, a routing.Answer) {
 	h := w.Header()
 	if a.Verdict == routing.Served {
-		maps.Copy(h, a.Reply.(*reply).header)
+		a.Reply.(*reply).putInto(h)
 	}
 	if f.clients.leaves() {
 		h.Set("Connection", "close")
@@ -256,8 +272,8 @@
 	switch a.Verdict {
 	case routing.Served:
 		p := a.Reply.(*reply)
-		h.Set("Content-Length", strconv.Itoa(len(p.body)))
 		w.Write(p.body) // an error here is the client's going; its connection's line tells
+		p.free()
 		return
 	case routing.Reject:
 		if a.RetryAfter > 0 {
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -24,6 +24,9 @@
 		return err
 	}
 	for name := range r.Header {
+		if !strings.Contains(name, "_") {
+			continue
+		}
 		// many servers read "_" as "-", and would find a second value
 		if plain := canonical(strings.ReplaceAll(name, "_", "-")); plain != name && carries(plain) {
 			return fmt.Errorf("%s: stands for %s", name, plain)
@@ -55,7 +58,7 @@
 
 func unreserved(c rune) bool {
 	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' ||
-		strings.ContainsRune("-._~", c)
+		c == '-' || c == '.' || c == '_' || c == '~'
 }
 
 func hex(c byte) bool {
--- a/internal/transport/peerconn.go
+++ b/internal/transport/peerconn.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"errors"
 	"syscall"
 	"time"
@@ -39,8 +40,38 @@
 	c.Close()
 }
 
-// interrupt ends what is being read or written.
-func (c *peerConn) interrupt() { c.SetDeadline(time.Unix(1, 0)) }
+// Interrupt ends what is being read or written.
+func (c *peerConn) Interrupt() { c.SetDeadline(time.Unix(1, 0)) }
+
+// endWatch interrupts a connection when a context ends.
+type endWatch struct {
+	try  tryContext
+	stop func() bool // without a try
+}
+
+// tryContext is a try's context, which needs no goroutine to tell its end.
+type tryContext interface {
+	OnEnd(routing.Interrupter) (goesOn bool)
+}
+
+func watchEnd(ctx context.Context, c *peerConn) endWatch {
+	if try, ok := ctx.(tryContext); ok {
+		if !try.OnEnd(c) { // it ended just before
+			c.Interrupt()
+		}
+		return endWatch{try: try}
+	}
+	return endWatch{stop: context.AfterFunc(ctx, c.Interrupt)}
+}
+
+// end ends the watch, and says whether the context had not ended. Nothing is
+// interrupted any more then.
+func (w endWatch) end() (undisturbed bool) {
+	if w.try != nil {
+		return w.try.OnEnd(nil)
+	}
+	return w.stop()
+}
 
 // stale says why an idle connection cannot carry a try; "": it can. Whatever
 // there is to read belongs to no request that is still to be sent.
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -37,13 +37,13 @@
 	keep    time.Duration // how long one may lie idle
 	most    int           // connections, open and being opened
 	open    int
-	idle    map[*routing.Peer][]*peerConn // the longest idle first
+	idle    map[*routing.Peer][]*peerConn // the longest idle first; the sweep drops lists that are empty
 	sweeper *time.Timer                   // the sweep that is due; nil: none is
 	closed  bool                          // none is opened or kept any more
 }
 
-// get returns a connection that carries nothing, or a new one.
-func (p *pool) get(ctx context.Context, peer *routing.Peer) (*peerConn, error) {
+// get returns a connection that carries nothing, or a new one, which must be up by until.
+func (p *pool) get(ctx context.Context, peer *routing.Peer, until time.Time) (*peerConn, error) {
 	for c := p.take(peer); c != nil; c = p.take(peer) {
 		if why := c.stale(); why != "" {
 			c.end(why)
@@ -55,7 +55,7 @@
 	if !ok {
 		return nil, errNoRoom
 	}
-	ctx, stop := context.WithTimeout(ctx, connect)
+	ctx, stop := context.WithTimeout(ctx, min(connect, time.Until(until)))
 	defer stop()
 	conn, err := p.dial.dial(ctx, peer.Addr)
 	if err != nil {
@@ -73,21 +73,13 @@
 	list, now := p.idle[peer], time.Now()
 	for i := len(list) - 1; i >= 0; i-- {
 		if c := list[i]; now.Sub(c.freed) >= p.settle {
-			p.set(peer, slices.Delete(list, i, i+1))
+			p.idle[peer] = slices.Delete(list, i, i+1)
 			return c
 		}
 	}
 	return nil
 }
 
-func (p *pool) set(peer *routing.Peer, list []*peerConn) {
-	if len(list) == 0 {
-		delete(p.idle, peer)
-		return
-	}
-	p.idle[peer] = list
-}
-
 // put takes a connection back that carries nothing any more.
 func (p *pool) put(c *peerConn) {
 	if !p.keeps(c) {
@@ -118,14 +110,14 @@
 	for p.open >= p.most {
 		var oldest *peerConn
 		for _, list := range p.idle {
-			if oldest == nil || list[0].freed.Before(oldest.freed) {
+			if len(list) > 0 && (oldest == nil || list[0].freed.Before(oldest.freed)) {
 				oldest = list[0]
 			}
 		}
 		if oldest == nil {
 			return 0, false
 		}
-		p.set(oldest.peer, p.idle[oldest.peer][1:])
+		p.idle[oldest.peer] = slices.Delete(p.idle[oldest.peer], 0, 1)
 		p.mu.Unlock()
 		oldest.end("idle")
 		p.mu.Lock()
@@ -181,13 +173,16 @@
 	ended := map[*peerConn]string{}
 	p.mu.Lock()
 	for peer, list := range p.idle {
-		p.set(peer, slices.DeleteFunc(list, func(c *peerConn) bool {
+		list = slices.DeleteFunc(list, func(c *peerConn) bool {
 			reason := why(c)
 			if reason != "" {
 				ended[c] = reason
 			}
 			return reason != ""
-		}))
+		})
+		if p.idle[peer] = list; len(list) == 0 {
+			delete(p.idle, peer)
+		}
 	}
 	p.mu.Unlock()
 	for c, reason := range ended {
--- a/internal/transport/refuse_test.go
+++ b/internal/transport/refuse_test.go
@@ -17,7 +17,9 @@
 	got := make(chan string, 1)
 	addr, _, _ := newFront(t, 100, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
 		m := c.Payload.(*message)
-		got <- string(m.bytes(m.header))
+		b, own := m.compose(c.Budget)
+		got <- string(b)
+		m.wrote(own)
 		return routing.Answer{Verdict: routing.Served, Reply: &reply{}}, true
 	})
 	return func(raw string) (*http.Response, string) {
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -25,6 +24,13 @@
 	n    int
 	shut error // open's
 	err  error // the kernel's
+
+	// of Peek, which is called as often
+	peeking sync.Mutex
+	peek    func(fd uintptr) // peekAt
+	one     [1]byte
+	ahead   int
+	failed  error // the kernel's
 }
 
 func newSocket(c *net.TCPConn) (*socket, error) {
@@ -33,7 +39,7 @@
 		return nil, fmt.Errorf("connection: %w", err)
 	}
 	s := &socket{TCPConn: c, raw: raw}
-	s.take = s.takeGated
+	s.take, s.peek = s.takeGated, s.peekAt
 	return s, nil
 }
 
@@ -80,9 +86,14 @@
 
 // Peek implements Conn.
 func (s *socket) Peek() (n int, err error) {
-	var failed error
-	err = s.raw.Control(func(fd uintptr) {
-		n, _, failed = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n, cmp.Or(err, failed)
+	s.peeking.Lock()
+	defer s.peeking.Unlock()
+	if err := s.raw.Control(s.peek); err != nil {
+		return 0, err
+	}
+	return s.ahead, s.failed
+}
+
+func (s *socket) peekAt(fd uintptr) {
+	s.ahead, _, s.failed = syscall.Recvfrom(int(fd), s.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -111,8 +111,13 @@
 }
 
 func tryOf(p *routing.Peer, method, body string) routing.Try {
-	return routing.Try{Peer: p, Until: time.Now().Add(time.Minute), Payload: &message{method: method,
-		target: "/api?user=a%2Fb&x=%7e", host: "api.internal", header: http.Header{"X-Call-Id": {"9b"}}, body: []byte(body)}}
+	return tryNamed(p, method, "9b", body)
+}
+
+func tryNamed(p *routing.Peer, method, id, body string) routing.Try {
+	m := newMessage(new(buffers), method, "/api?user=a%2Fb&x=%7e", "api.internal", http.Header{"X-Call-Id": {id}}, len(body))
+	copy(m.body, body)
+	return routing.Try{Peer: p, Until: time.Now().Add(time.Minute), Payload: m}
 }
 
 // TestNoHiddenTry guards against a request that is sent again when a reused
@@ -140,7 +145,7 @@
 			t.Errorf("%v: %+v", c, r)
 		}
 		want := c.method + " /api?user=a%2Fb&x=%7e HTTP/1.1\r\nHost: api.internal\r\n" + c.framing +
-			"X-Budget: 59.999\r\nX-Call-Id: 9b\r\n\r\n" + c.body
+			"X-Call-Id: 9b\r\nX-Budget: 59.999\r\n\r\n" + c.body
 		if wire := <-got; wire != want && wire != strings.Replace(want, "59.999", "60.000", 1) {
 			t.Errorf("on the wire:\n%q\nwant\n%q", wire, want)
 		}
@@ -194,7 +199,7 @@
 			r.Reply != nil && string(r.Reply.(*reply).body) != "hi" {
 			t.Errorf("%s: result %d, %+v after %d requests, want %d after 1", name, r.Result, r.Reply, len(got), c.want)
 		}
-		if reused := len(k.pool.idle) > 0; reused != c.reuse {
+		if reused := len(k.pool.idle[p]) > 0; reused != c.reuse {
 			t.Errorf("%s: the connection may be used again: %v", name, reused)
 		}
 	}
@@ -223,9 +228,8 @@
 	for i := range 4 {
 		all.Go(func() {
 			for j := range 500 {
-				try, id := tryOf(p, "GET", ""), fmt.Sprintf("%d-%d", i, j)
-				try.Payload.(*message).header = http.Header{"X-Call-Id": {id}}
-				if r := k.Try(t.Context(), try); r.Result != brain.OK || string(r.Reply.(*reply).body) != id {
+				id := fmt.Sprintf("%d-%d", i, j)
+				if r := k.Try(t.Context(), tryNamed(p, "GET", id, "")); r.Result != brain.OK || string(r.Reply.(*reply).body) != id {
 					t.Errorf("%s: %+v", id, r)
 				}
 			}
@@ -234,7 +238,7 @@
 	all.Wait()
 	// late: the bytes come while the connection lies idle
 	late := listenOn(t, func(conn net.Conn) { io.WriteString(conn, ok); io.Copy(io.Discard, conn) })
-	c, err := k.pool.get(t.Context(), late)
+	c, err := k.pool.get(t.Context(), late, time.Now().Add(time.Minute))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -243,7 +247,7 @@
 	k.pool.mu.Lock()
 	k.pool.idle[late] = []*peerConn{c}
 	k.pool.mu.Unlock()
-	if again, err := k.pool.get(t.Context(), late); err != nil || again == c {
+	if again, err := k.pool.get(t.Context(), late, time.Now().Add(time.Minute)); err != nil || again == c {
 		t.Errorf("%v: the same connection: %v", err, again == c)
 	}
 }
@@ -581,7 +585,7 @@
 // TestMalformedRequests get a plain 4xx and no try.
 func TestMalformedRequests(t *testing.T) {
 	addr, front, _ := newFront(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
-		return routing.Answer{Verdict: routing.Served, Reply: &reply{body: c.Payload.(*message).body}}, true
+		return routing.Answer{Verdict: routing.Served, Reply: &reply{body: bytes.Clone(c.Payload.(*message).body)}}, true
 	})
 	body := func(n int) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n", n) + strings.Repeat("x", n) }
 	cases := []struct {
@@ -703,7 +707,7 @@
 		status int
 		after  string
 	}{
-		{routing.Answer{Verdict: routing.Served, Reply: &reply{header: http.Header{"X-Hit": {"1"}}, body: []byte("\x00b")}}, 200, ""},
+		{routing.Answer{Verdict: routing.Served, Reply: &reply{fields: []field{{"X-Hit", [1]string{"1"}}}, body: []byte("\x00b")}}, 200, ""},
 		{routing.Answer{Verdict: routing.Reject, RetryAfter: 250 * time.Millisecond}, 503, "0.250"},
 		{routing.Answer{Verdict: routing.Reject}, 503, ""}, {routing.Answer{Verdict: routing.Failed}, 502, ""},
 		{routing.Answer{Verdict: routing.Overdue}, 504, ""}, {routing.Answer{Verdict: routing.Twice}, 409, ""},
@@ -917,16 +921,17 @@
 // TestSilentWatch: a call that never comes back gets others beside it, but not for ever.
 func TestSilentWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		dialed, began := 0, time.Now()
+		var dialed atomic.Int64
+		began := time.Now()
 		w := NewWatch("d:1", protocol.Names{}, 1, func(context.Context, string) (net.Conn, error) {
-			dialed++
+			dialed.Add(1)
 			near, far := net.Pipe()
 			go io.Copy(io.Discard, far)
 			return pipe{near}, nil
 		}, slog.New(slog.DiscardHandler))
 		const last = watchWait + watchLate + (watchAgain-1)*watchBeside // when the last call goes out
-		if err := w.Watch(t.Context(), nil); err == nil || dialed != 1+watchAgain || time.Since(began) > last+watchSlack {
-			t.Errorf("%v after %d calls in %v, want %d in at most %v", err, dialed, time.Since(began), 1+watchAgain, last+watchSlack)
+		if err := w.Watch(t.Context(), nil); err == nil || dialed.Load() != 1+watchAgain || time.Since(began) > last+watchSlack {
+			t.Errorf("%v after %d calls in %v, want %d in at most %v", err, dialed.Load(), time.Since(began), 1+watchAgain, last+watchSlack)
 		}
 	})
 }
