Set a client connection's deadlines only where a read waits for them

http.Server sets nine deadlines for a request, each of which moves a timer, and the framing of a head was followed byte by byte. Now a read's deadline reaches the connection when a read waits, a write's when it is a quarter of its time later than the last, and of a line whose beginning is known only the end is looked for.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -320,18 +320,8 @@
 	buf  []byte
 	open func() error // mayRead
 	took func(n int)  // hasRead
-}
 
-// Read implements net.Conn. Bytes are taken under the lock, so that whether the
-// connection ends is decided either before or after: a request whose bytes were
-// taken counts as taken, and to close on it would lose it. One that is still
-// unread when the node closes is sent again by its client, which the kernel
-// tells by a reset.
-func (k *clientConn) Read(b []byte) (int, error) {
-	k.buf = b
-	n, err := k.ReadGate(b, &k.all.mu, k.open, k.took)
-	k.life.read(err, "client-closed", "client-reset")
-	return n, err
+	deadlines deadlines
 }
 
 // mayRead says whether a read may go on. The lock is held.
--- a/internal/transport/framing.go
+++ b/internal/transport/framing.go
@@ -1,6 +1,9 @@
 package transport
 
-import "strconv"
+import (
+	"bytes"
+	"strconv"
+)
 
 // framing follows the heads of the requests on a client connection, in the raw
 // bytes. Where Transfer-Encoding stands beside Content-Length, net/http takes
@@ -31,6 +34,17 @@
 			f.skip, b = f.skip-n, b[n:]
 			continue
 		}
+		if f.n == len(f.line) && !f.inValue { // of the rest of the line only its end matters
+			end := bytes.IndexByte(b, '\n')
+			if end < 0 {
+				f.cr = b[len(b)-1] == '\r'
+				return
+			}
+			if end > 0 {
+				f.cr = b[end-1] == '\r'
+			}
+			b = b[end:]
+		}
 		f.next(b[0])
 		b = b[1:]
 	}
@@ -55,14 +69,14 @@
 		f.line[f.n] = c
 		f.n++
 		if c == ':' {
-			f.name(string(f.line[:f.n]))
+			f.name(f.line[:f.n])
 			f.n = len(f.line)
 		}
 	}
 }
 
-func (f *framing) name(name string) {
-	switch name {
+func (f *framing) name(name []byte) {
+	switch string(name) {
 	case "content-length:":
 		f.torn, f.over = f.sized, f.sized
 		f.sized, f.inValue, f.digits = true, true, f.digits[:0]
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -30,7 +30,8 @@
 	requestTimeout = 2500 * time.Millisecond // its body included
 	// Between requests. Clients may hold only so many connections to a node, and
 	// some ask once and keep theirs: a longer time leaves the others none.
-	idleTimeout = 2100 * time.Millisecond
+	idleTimeout  = 2100 * time.Millisecond
+	writeTimeout = 30 * time.Second // of an answer
 )
 
 // shedRetryAfter is when a client turned away for want of descriptors should come back.
@@ -74,7 +75,7 @@
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ReadHeaderTimeout: headTimeout,
 		ReadTimeout:       requestTimeout,
-		WriteTimeout:      30 * time.Second,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    32 << 10,
 
