Read a call's five fields without a map or pointers to them

The names of the fields that decisions need went through a map, then through pointers, which put five strings on the heap for every call. They are kept in an array now. Race tests pass.

--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -42,18 +42,16 @@
 // a header's values, query is the raw query. Any error deserves a plain 4xx
 // answer and no try; a *MethodError says that it should be 405.
 func (n Names) ParseCall(method string, header func(name string) []string, query string) (routing.Call, error) {
-	var id, className, caller, left, again string
-	for _, f := range [...]struct {
-		name string
-		to   *string
-	}{{HeaderID, &id}, {HeaderClass, &className}, {HeaderCaller, &caller}, {HeaderBudget, &left}, {HeaderAgain, &again}} {
-		switch v := header(f.name); {
+	var fields [5]string
+	for i, name := range [...]string{HeaderID, HeaderClass, HeaderCaller, HeaderBudget, HeaderAgain} {
+		switch v := header(name); {
 		case len(v) > 1:
-			return routing.Call{}, fmt.Errorf("%s: given %d times", f.name, len(v))
+			return routing.Call{}, fmt.Errorf("%s: given %d times", name, len(v))
 		case len(v) == 1:
-			*f.to = v[0]
+			fields[i] = v[0]
 		}
 	}
+	id, className, caller, left, again := fields[0], fields[1], fields[2], fields[3], fields[4]
 	if !validID(id) { // an odd one must not reach a peer
 		return routing.Call{}, fmt.Errorf("%s: missing or malformed: %.80q", HeaderID, id)
 	}
