Watch for a client's going only once its call is 10 ms old

http.Server asks the kernel for a byte as soon as a call is open, to learn that its client goes: one read of eight system calls, a wait on the poller and a deadline to end it, for calls that are mostly answered before.

--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -22,7 +22,8 @@
 	if len(e.tries) > 0 {
 		a = new(attempt)
 	}
-	a.Try = Try{Call: id, Attempt: len(e.tries), Peer: r.peers[to], Until: r.instant(until), Over: &e.over, Payload: e.Payload}
+	a.Try = Try{Call: id, Attempt: len(e.tries), Peer: r.peers[to], Until: r.instant(until),
+		Over: &e.over, Payload: e.Payload}
 	a.router, a.begun = r, time.Now()
 	e.tries = append(e.tries, a)
 	e.out++
--- a/internal/transport/buffers_test.go
+++ b/internal/transport/buffers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -9,6 +11,7 @@
 	"time"
 
 	"olivebridge/internal/protocol"
+	"olivebridge/internal/routing"
 )
 
 // TestMessageHeld: the buffer comes back only once nobody holds the message, and nobody holds it after that.
@@ -68,3 +71,27 @@
 	}
 	all.Wait()
 }
+
+// TestLeftBeforeTheLook: a client that goes before its connection is watched is found to have gone by a try
+// that does not leave at once, and its call hears of it then.
+func TestLeftBeforeTheLook(t *testing.T) {
+	var c *client
+	found := make(chan [2]bool)
+	addr, _, _ := newFront(t, 10, func(ctx context.Context, call routing.Call) (routing.Answer, bool) {
+		m := call.Payload.(*message)
+		stays := !m.left(1, time.Now())
+		c.Close()
+		for !m.left(1, time.Now()) {
+		}
+		found <- [2]bool{stays, !m.left(0, m.arrived)}
+		<-ctx.Done()
+		close(found)
+		return routing.Answer{}, false
+	})
+	c = dial(t, addr)
+	io.WriteString(c, head+"Content-Length: 0\r\n\r\n")
+	if got := <-found; got != [2]bool{true, true} {
+		t.Errorf("stays, and a first try at once: %v", got)
+	}
+	<-found
+}
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -91,7 +91,7 @@
 		return routing.TryResult{Result: brain.Moot} // not the peer's doing
 	case err != nil:
 		return routing.TryResult{Result: brain.ConnectFailed}
-	case cause != nil || t.Over != nil && t.Over.Load():
+	case cause != nil || t.Over != nil && t.Over.Load() || m.left(t.Attempt, now):
 		k.pool.put(c)
 		return routing.TryResult{Result: brain.Moot}
 	case !t.Peer.OpenFor(now, k.config.Load().DrainGrace):
--- a/internal/transport/clientread.go
+++ b/internal/transport/clientread.go
@@ -1,10 +1,18 @@
 package transport
 
 import (
+	"errors"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// hangUpLook is how long a call may be open before its client connection is
+// watched for the client's going. Most calls are answered by then. Until then
+// a try that does not leave at once looks first, by left.
+const hangUpLook = 10 * time.Millisecond
+
 // deadlines are what http.Server wants of a client connection. It sets nine for
 // one request, and waits for few of them: the connection, where each costs a
 // timer, hears of one only when a read is to wait.
@@ -14,6 +22,16 @@
 	applied time.Time // the same, as the connection has it
 	reading bool      // a read is with the connection
 	write   time.Time // as the connection has it
+
+	resting bool // a read waits until it is time to look for the client's going
+	due     *time.Timer
+	wake    chan struct{} // tells that read that something has changed; holds one
+	now     bool          // it is time to look
+}
+
+func (d *deadlines) init() {
+	d.due, d.wake = time.NewTimer(time.Hour), make(chan struct{}, 1)
+	d.due.Stop()
 }
 
 // Read implements net.Conn. Bytes are taken under the lock, so that whether the
@@ -22,6 +40,9 @@
 // unread when the node closes is sent again by its client, which the kernel
 // tells by a reset.
 func (k *clientConn) Read(b []byte) (int, error) {
+	if len(b) == 1 && !k.rest() { // http.Server asks for one byte while a call is open, and else for more
+		return 0, os.ErrDeadlineExceeded
+	}
 	if err := k.reads(true); err != nil {
 		return 0, err
 	}
@@ -32,6 +53,54 @@
 	return n, err
 }
 
+// rest waits until it is time to look for the client's going, and reports
+// whether it still is to be looked for.
+func (k *clientConn) rest() bool {
+	d := &k.deadlines
+	d.due.Reset(hangUpLook)
+	defer d.due.Stop()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for d.now, d.resting = false, true; !past(d.read) && !d.now; {
+		d.mu.Unlock()
+		timeUp := false
+		select {
+		case <-d.due.C:
+			timeUp = true
+		case <-d.wake:
+		}
+		d.mu.Lock()
+		d.now = d.now || timeUp
+	}
+	d.resting = false
+	return !past(d.read)
+}
+
+func past(t time.Time) bool { return !t.IsZero() && !time.Now().Before(t) }
+
+// stir lets a resting read look what has changed. The lock of deadlines is held.
+func (d *deadlines) stir() {
+	if d.resting {
+		select {
+		case d.wake <- struct{}{}:
+		default: // it is told already
+		}
+	}
+}
+
+// left reports whether the client has gone by now. If so, http.Server hears of it.
+func (k *clientConn) left() bool {
+	n, err := k.Peek()
+	if n > 0 || errors.Is(err, syscall.EAGAIN) {
+		return false
+	}
+	k.deadlines.mu.Lock()
+	defer k.deadlines.mu.Unlock()
+	k.deadlines.now = true
+	k.deadlines.stir()
+	return true
+}
+
 // reads notes that a read begins, or has ended.
 func (k *clientConn) reads(begins bool) error {
 	k.deadlines.mu.Lock()
@@ -55,6 +124,7 @@
 	k.deadlines.mu.Lock()
 	defer k.deadlines.mu.Unlock()
 	k.deadlines.read = t
+	k.deadlines.stir()
 	return k.applyRead()
 }
 
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -88,6 +88,7 @@
 		return nil, fmt.Errorf("client: %w", err)
 	}
 	k := &clientConn{Conn: gated, all: c, since: time.Now()}
+	k.deadlines.init()
 	k.open, k.took = k.mayRead, k.hasRead
 	k.life = newLife(c.log, "client", conn.RemoteAddr().String(), func() { c.forget(k) })
 	c.mu.Lock()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -239,7 +239,7 @@
 	}
 	call.Arrived = time.Now()
 	k.requestRead()
-	call.Payload = m
+	m.from, m.arrived, call.Payload = k, call.Arrived, m
 	return call, 0, nil
 }
 
--- a/internal/transport/message.go
+++ b/internal/transport/message.go
@@ -29,6 +29,19 @@
 	home   *buffers
 	users  atomic.Int32
 	taken  atomic.Bool // room is, by a try that writes
+
+	from    interface{ left() bool } // the client connection; nil: none
+	arrived time.Time
+}
+
+// atOnce is how long after its call a first try leaves without a look at the client.
+const atOnce = 250 * time.Microsecond
+
+// left reports whether the client is found to have gone before a try leaves. It
+// guards the peers against tries for nobody, which a client connection that is
+// not watched yet would let pass.
+func (m *message) left(attempt int, now time.Time) bool {
+	return m.from != nil && (attempt > 0 || now.Sub(m.arrived) > atOnce) && m.from.left()
 }
 
 // budgetLine is room for the longest line with a budget, and the empty line.
