--- a/internal/lab/rules/client.go
+++ b/internal/lab/rules/client.go
@@ -291,10 +291,11 @@
 	}
 }
 
-// broke: one end was reset; at the node's, it knows that its client is gone.
+// broke: one end was reset; at the node's, it knows that its client is gone,
+// unless bytes of a next request that it has not read stand before the reset.
 func (c *clientConn) broke(back bool) {
 	c.left()
-	if back {
+	if back && c.fwd.read >= c.fwd.arrived {
 		for _, r := range c.queue {
 			r.shut(c.j.now + instant)
 		}
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -432,6 +432,14 @@
 		s.answer("a", "502 ")
 		s.try("a1", "quote")
 	}},
+	{"after a reset behind bytes not read", "", nil, func(s *scene) {
+		s.ask("a", "quote")
+		s.cross(link.Sent, "a", false, wire("b", "quote"), "")
+		s.cross(link.Arrived, "a", false, wire("b", "quote"), "")
+		s.cross(link.Broke, "a", true, "", "reset")
+		s.pass(10 * ms)
+		s.try("a1", "quote")
+	}},
 	{"after the client's going came", Hidden, nil, func(s *scene) {
 		s.ask("a", "quote")
 		s.end("a", false, "")
