Play experiments on sockets: a runner over live runs, with a judge of its own

Need: run and compare played on the virtual clock only. Change: experiment.Sockets plays a script through package live, which tells requests, readings (with processor time and memory of the nodes) and events, and judges what clients, peers and processes show for sure; compare takes two nodes' programs; a short form may have a lower rate.

--- a/cmd/olivelab/compare.go
+++ b/cmd/olivelab/compare.go
@@ -22,17 +22,17 @@
 	with experiment.Runner
 }
 
-// compareCommand compares two builds, or two experiments; live plays on sockets.
-func compareCommand(live experiment.Runner) *cobra.Command {
-	on := clock{live: live}
+// compareCommand compares two builds, or two experiments.
+func compareCommand() *cobra.Command {
+	var on clock
 	var file, out string
 	var pairs uint64
 	var short bool
 	c := &cobra.Command{
 		Use:   "compare A B",
 		Short: "compares two builds, or two experiments, over several pairs of runs",
-		Long: "A and B are two experiment files (*.toml), or two builds of olivelab, which then play the file that " +
-			"--experiment names. Each pair has a seed of its own, and the order within pairs is A B, B A, and so on. For " +
+		Long: "A and B are two experiment files (*.toml), or two builds, which then play the file that --experiment " +
+			"names: two nodes' programs, or, with --virtual, two builds of olivelab. Each pair has a seed of its own, and the order within pairs is A B, B A, and so on. For " +
 			"each figure the table has the medians, their ratio with its spread, and whether a difference is seen.",
 		Args: cobra.ExactArgs(2),
 	}
@@ -45,7 +45,7 @@
 		if pairs == 0 {
 			return errors.New("--pairs: at least 1")
 		}
-		sides, err := on.sides(args, file)
+		sides, err := on.sides(args, file, c.ErrOrStderr())
 		if err != nil {
 			return err
 		}
@@ -68,7 +68,7 @@
 }
 
 // sides reads what is to be compared.
-func (k *clock) sides(args []string, file string) (sides [2]side, err error) {
+func (k *clock) sides(args []string, file string, errs io.Writer) (sides [2]side, err error) {
 	files := 0
 	for _, a := range args {
 		if strings.HasSuffix(a, ".toml") {
@@ -92,13 +92,36 @@
 		if sides[i].e, err = experiment.Load(path); err != nil {
 			return sides, err
 		}
-		if sides[i].with, err = k.runner(build); err != nil {
+		if sides[i].with, err = k.runner(build, errs); err != nil {
 			return sides, err
 		}
 	}
 	return sides, nil
 }
 
+// again is how often a run is played whose load tool was late.
+const again = 3
+
+// playSide plays one side's run of a pair.
+func playSide(ctx context.Context, s side, seed uint64, short bool, errs io.Writer) (*report.Report, error) {
+	for n := 1; ; n++ {
+		plan, err := s.e.Plan(seed, short)
+		if err != nil {
+			return nil, err
+		}
+		r, err := plan.Run(ctx, s.with, nil)
+		switch {
+		case err != nil:
+			return nil, fmt.Errorf("%s: %w", s.name, err)
+		case r.Verdict != report.None:
+			return r, nil
+		case n == again:
+			return nil, fmt.Errorf("%s, seed %d: no verdict: %s", s.name, seed, r.Why)
+		}
+		fmt.Fprintf(errs, "%s, seed %d: once more: %s\n", s.name, seed, r.Why)
+	}
+}
+
 // playPairs plays all pairs, in turn A B, B A.
 func playPairs(
 	ctx context.Context, sides [2]side, pairs uint64, short bool, errs io.Writer,
@@ -108,16 +131,9 @@
 		for turn := range 2 {
 			i := (turn + int(n%2)) % 2
 			s := sides[i]
-			plan, err := s.e.Plan(s.e.Seed+n, short)
-			if err != nil {
+			if got[i], err = playSide(ctx, s, s.e.Seed+n, short, errs); err != nil {
 				return nil, err
 			}
-			if got[i], err = plan.Run(ctx, s.with, nil); err != nil {
-				return nil, fmt.Errorf("%s: %w", s.name, err)
-			}
-			if got[i].Verdict == report.None {
-				return nil, fmt.Errorf("%s, seed %d: no verdict: %s", s.name, plan.Script.Seed, got[i].Why)
-			}
 		}
 		all = append(all, compare.Pair{A: got[0], B: got[1]})
 		worth := func(i int) float64 { return got[i].Phases[0].All.Worth }
--- a/cmd/olivelab/main.go
+++ b/cmd/olivelab/main.go
@@ -50,8 +50,7 @@
 	root.SetErr(errs)
 	root.AddCommand(seedsCommand(s), replayCommand(s), shrinkCommand(s), faultsCommand(s), plantsCommand(s), upCommand(),
 		workerCommand(s))
-	root.AddCommand(runCommand(nil))     // nil: no runner on sockets
-	root.AddCommand(compareCommand(nil)) // the same
+	root.AddCommand(runCommand(), compareCommand())
 	err := root.ExecuteContext(ctx)
 	switch {
 	case err == nil:
--- a/cmd/olivelab/run.go
+++ b/cmd/olivelab/run.go
@@ -1,45 +1,55 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
+	"path/filepath"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"olivebridge/internal/lab/experiment"
+	"olivebridge/internal/lab/live"
 	"olivebridge/internal/lab/report"
 )
 
-// clock is the flag that says on what experiments are played.
+// clock is the flags that say on what experiments are played.
 type clock struct {
 	virtual bool
-	live    experiment.Runner // on sockets; nil: this build has none
+	node    string // the nodes' program, on sockets
 }
 
 func (k *clock) flags(c *cobra.Command) {
-	c.Flags().BoolVar(&k.virtual, "virtual", false, "play on the virtual clock: fast, and the same each time")
+	c.Flags().BoolVar(&k.virtual, "virtual", false,
+		"play on the virtual clock: fast, and the same each time; else on loopback sockets, in real time")
 }
 
-// runner is who plays with a build; "": this one.
-func (k *clock) runner(build string) (experiment.Runner, error) {
+// runner is who plays; build is the program: on the virtual clock one of
+// olivelab, on sockets a node; "": this one, or one built from the source tree.
+func (k *clock) runner(build string, errs io.Writer) (experiment.Runner, error) {
 	switch {
+	case k.virtual && k.node != "":
+		return nil, errors.New("--node: not with --virtual, where nodes run inside of olivelab")
 	case k.virtual && build != "":
 		return experiment.Virtual{Command: []string{build, "worker"}}, nil
 	case k.virtual:
 		return experiment.Virtual{}, nil
-	case build != "":
-		return nil, errors.New("builds are compared on the virtual clock: add --virtual")
-	case k.live == nil:
-		return nil, errors.New("this build plays on the virtual clock only: add --virtual")
 	}
-	return k.live, nil
+	if build = cmp.Or(build, k.node); build != "" {
+		if err := live.Program(build); err != nil {
+			return nil, unreadable(err)
+		}
+		path, err := filepath.Abs(build)
+		return experiment.Sockets{Node: path, Log: errs}, err
+	}
+	return experiment.Sockets{Log: errs}, nil
 }
 
-// runCommand plays one experiment; live plays it on sockets.
-func runCommand(live experiment.Runner) *cobra.Command {
-	on := clock{live: live}
+// runCommand plays one experiment.
+func runCommand() *cobra.Command {
+	var on clock
 	var files struct{ json, html, svg string }
 	var seed uint64
 	var short bool
@@ -52,6 +62,7 @@
 		Args: cobra.ExactArgs(1),
 	}
 	on.flags(c)
+	c.Flags().StringVar(&on.node, "node", "", "the nodes' `program`, on sockets; \"\": built from the source tree")
 	c.Flags().StringVar(&files.json, "json", "", "where the report goes as JSON")
 	c.Flags().StringVar(&files.html, "html", "", "where it goes as one page with pictures")
 	c.Flags().StringVar(&files.svg, "svg", "", "where its picture goes")
@@ -62,7 +73,7 @@
 		if err != nil {
 			return err
 		}
-		with, err := on.runner("")
+		with, err := on.runner("", c.ErrOrStderr())
 		if err != nil {
 			return err
 		}
--- a/cmd/olivelab/run_test.go
+++ b/cmd/olivelab/run_test.go
@@ -35,6 +35,8 @@
 		"fails.toml": fmt.Sprintf(small, 20, "most = 0.01"),
 		"bad.toml":   fmt.Sprintf(small, 20, "least = '1s'"),
 		"more.toml":  fmt.Sprintf(small, 40, "least = 0.01"),
+		"slowlink.toml": fmt.Sprintf(small, 20, "least = 0.01") +
+			"[[fault]]\nkind = 'slowlink'\nat = '1s'\nfor = '1s'\nfactor = 3\npeers = ['p01']\n",
 	} {
 		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
@@ -58,7 +60,10 @@
 		{"run --virtual fails.toml", 1,
 			`\nworth +<= 0.0100 +0.\d+ +failed\n(?s:.*)\nfailed: 0 of 1 assertions hold\n$`, `^$`},
 		{"run --virtual --seed 2 --short good.toml", 0, `seed 2, 3s, short form`, `^$`},
-		{"run good.toml", 2, `^$`, `^olivelab: this build plays on the virtual clock only: add --virtual\n$`},
+		{"run slowlink.toml", 2, `^$`, `^olivelab: fault\[0\]: slowlink: not on sockets, where .*\n$`},
+		{"run good.toml --node no/where", 2, `^$`, `^olivelab: no/where: no such file or directory\n$`},
+		{"run good.toml --node /bin/false", 2, `^$`, `(?m)^olivelab: playing on sockets: node n1 ended: exit status 1$`},
+		{"run good.toml --virtual --node " + self, 2, `^$`, `^olivelab: --node: not with --virtual`},
 		{"run --virtual bad.toml", 2, `^$`, `^olivelab: bad.toml:13: assert\[0\].least: worth wants a number\n$`},
 		{"run --virtual none.toml", 2, `^$`, `^olivelab: none.toml:1: cannot be read: no such file or directory\n$`},
 		{"run --virtual good.toml --json no/where", 2, `^$`, `^olivelab: no/where: no such file or directory\n$`},
@@ -66,7 +71,7 @@
 		{"compare --virtual good.toml good.toml --pairs 2", 0, `\nno difference seen\n$`, `pair 2 of 2: `},
 		{"compare --virtual good.toml more.toml --pairs 1", 0, `too few pairs to tell: 6 at least\n$`, ``},
 		{"compare --virtual --pairs 1 --experiment good.toml " + self + " " + self, 0, `the same in every pair`, ``},
-		{"compare --experiment good.toml " + self + " " + self, 2, `^$`, `builds are compared on the virtual clock`},
+		{"compare --experiment good.toml " + self + " none", 2, `^$`, `^olivelab: none: no such file or directory\n$`},
 		{"compare --virtual a b", 2, `^$`, `^olivelab: --experiment: which file are the builds to play\?\n$`},
 		{"compare --virtual good.toml b", 2, `^$`, `^olivelab: wanted: two experiment files, or two builds\n$`},
 		{"compare --virtual good.toml good.toml --experiment good.toml", 2, `^$`, `only with two builds\n$`},
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -26,6 +26,7 @@
 	Seed    uint64       `toml:"seed"`   // of all that is drawn
 	Length  figure.Span  `toml:"length"` // requests arrive until then
 	Short   float64      `toml:"short"`  // the short form's length, as a share of Length
+	Slower  float64      `toml:"slower"` // the short form's rate of requests, as a share of the full one's; 0: all of it
 	World   World        `toml:"world"`  // drawn by the seed, or:
 	Script  fault.Script `toml:"script"` // stated whole, with seed, length and faults of its own
 	Phases  []Phase      `toml:"phase"`
@@ -75,6 +76,9 @@
 // shortest is the least share of a length that a short form may be.
 const shortest = 0.05
 
+// slowest is the least share of a rate that a short form may have.
+const slowest = 0.001
+
 // Load reads an experiment from a file and checks it. What is wrong is reported
 // in one line: file, line, key, reason.
 func Load(path string) (*Experiment, error) {
@@ -132,6 +136,12 @@
 	case !(e.Short >= shortest && e.Short <= 1):
 		return d.Error("short", "%v is not from %v to 1", e.Short, shortest)
 	}
+	if e.Slower == 0 {
+		e.Slower = 1
+	}
+	if !(e.Slower >= slowest && e.Slower <= 1) {
+		return d.Error("slower", "%v is not from %v to 1", e.Slower, slowest)
+	}
 	if err := e.checkPhases(d); err != nil {
 		return err
 	}
--- a/internal/lab/experiment/file_test.go
+++ b/internal/lab/experiment/file_test.go
@@ -64,6 +64,7 @@
 		{`length = "20s"`, `length = 20`, `length: want a length of time such as "1.5s", not the number 20`},
 		{`length = "20s"`, `length = "0s"`, "length: there is none"},
 		{`short = 0.5`, `short = 2`, "short: 2 is not from 0.05 to 1"},
+		{`short = 0.5`, `slower = 2`, "slower: 2 is not from 0.001 to 1"},
 		{`peers = 6`, `peers = -1`, "world.peers: -1 is not from 1 to 1000"},
 		{`rate = 50`, `rate = 0.5`, "world.rate: 0.5 is not from 1 to 100000"},
 		{`rate = 50`, "rate = 50\nload = 0.5", "world.load: either a rate or a load"},
--- a/internal/lab/experiment/record.go
+++ b/internal/lab/experiment/record.go
@@ -217,6 +217,7 @@
 		if len(r.reads[len(r.reads)-1].Nodes) > 0 {
 			cpu := (r.at(to, spent) - r.at(from, spent)) / asked
 			out.All.CPU = &cpu
+			out.All.Resident, out.All.Growth = r.memory(from, to)
 		}
 	}
 	return out
@@ -264,6 +265,41 @@
 	return ms
 }
 
+// memory is what the nodes' processes held in a phase, in the mean, and how many
+// times as much in its last third as in its first; nil where that was not read.
+func (r *recorder) memory(from, to time.Duration) (mean, growth *float64) {
+	third := (to - from) / 3
+	all, ok := r.resident(from, to)
+	first, begins := r.resident(from, from+third)
+	last, ends := r.resident(to-third, to)
+	if ok {
+		mean = &all
+	}
+	if begins && ends {
+		times := last / first
+		growth = &times
+	}
+	return mean, growth
+}
+
+// resident is the mean of the readings in a time, in megabytes.
+func (r *recorder) resident(from, to time.Duration) (mb float64, ok bool) {
+	n := 0
+	for i := range r.reads {
+		if at := r.reads[i].At; at < from || at >= to {
+			continue
+		}
+		n++
+		for _, one := range r.reads[i].Nodes {
+			mb += float64(one.Resident) / (1 << 20)
+		}
+	}
+	if n == 0 || mb == 0 {
+		return 0, false
+	}
+	return mb / float64(n), true
+}
+
 // series makes up what is shown along the time axis.
 func (r *recorder) series(out *report.Report) {
 	for i := range r.seconds {
--- a/internal/lab/experiment/run_test.go
+++ b/internal/lab/experiment/run_test.go
@@ -76,7 +76,7 @@
 	for _, q := range o {
 		to.Request(q)
 	}
-	return Played{Clock: "sockets"}, nil
+	return Played{Clock: clockSockets}, nil
 }
 
 // Guards the figures: times count from when a request was due, those that left are of no account,
--- a/internal/lab/experiment/script.go
+++ b/internal/lab/experiment/script.go
@@ -64,6 +64,12 @@
 		s = e.draw(seed)
 	}
 	s.Length = e.scaled(e.Length, short)
+	if short && e.Slower < 1 {
+		for i := range s.World.Clients {
+			c := &s.World.Clients[i]
+			c.Rate = max(figure.Round(c.Rate*e.Slower, 6), leastRate)
+		}
+	}
 	own := len(s.Faults)
 	for i, f := range e.Faults {
 		if err := e.involve(s, e.timed(f.Fault, s, short), f.Part); err != nil {
@@ -114,6 +120,9 @@
 	return key
 }
 
+// leastRate is the least that a crowd may have.
+const leastRate = 0.01
+
 // mostRate leaves a world all its peers, whatever is asked of them.
 const mostRate = 1e9
 
@@ -141,7 +150,7 @@
 		}
 		for i := range s.World.Clients {
 			c := &s.World.Clients[i]
-			c.Rate = max(figure.Round(c.Rate*w.Rate/sum, 6), 0.01)
+			c.Rate = max(figure.Round(c.Rate*w.Rate/sum, 6), leastRate)
 		}
 	}
 	return s
--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -25,6 +25,7 @@
 
 	last string        // line that it wrote; once gone
 	used time.Duration // of processor; once gone
+	left bool          // it has left children behind, which were killed; once gone
 
 	mu      sync.Mutex
 	process *os.Process
@@ -52,6 +53,7 @@
 	err := cmd.Wait()
 	c.last = out.last
 	c.used = cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	c.left = syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) == nil // the group is its own
 	return err
 }
 
--- a/internal/lab/live/child_linux.go
+++ b/internal/lab/live/child_linux.go
@@ -26,3 +26,14 @@
 	system, _ := strconv.Atoi(fields[12])
 	return time.Duration(user+system) * (time.Second / 100)
 }
+
+// residentOf is how many bytes of memory a process holds; 0 if that cannot be told.
+func residentOf(pid int) int64 {
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -60,6 +60,7 @@
 		protocol.EnvDiscovery+"="+i.run.net.Seen(i.c.Name, i.run.discovery), protocol.EnvConfig+"="+i.path(".json"))}
 	c.line = func(line string) bool { return i.line(c, line) }
 	i.live = c
+	i.run.watch.tell(i.c.Name, "started")
 	i.run.front.Born(i.c.Name)
 	prior := i.prior
 	i.prior = c.gone
@@ -88,23 +89,35 @@
 	return os.Rename(i.path(".new"), i.path(".json"))
 }
 
+// pid is the number of its process; 0: there is none.
+func (i *instance) pid() int {
+	if i.live == nil {
+		return 0
+	}
+	return i.live.pid()
+}
+
 func (i *instance) path(kind string) string { return filepath.Join(i.run.options.Dir, i.c.Name+kind) }
 
 // ended hears that a process is gone.
 func (i *instance) ended(c *child, err error) {
 	i.used += c.used
+	if c.left {
+		i.run.breaks("rest", "node %s left processes of its own behind", i.c.Name)
+	}
 	if i.live != c {
 		return // killed
 	}
 	i.live = nil
 	i.earlier, i.tries, i.open = i.earlier+i.tries, 0, 0
 	i.run.front.Died(i.c.Name)
+	i.run.watch.tell(i.c.Name, "ended")
 	if !c.leaving {
 		wrote := ""
 		if c.last != "" {
 			wrote = "; it wrote: " + c.last
 		}
-		i.run.fail("node %s ended: %v%s", i.c.Name, err, wrote)
+		i.run.breaks("crash", "node %s ended: %v%s", i.c.Name, err, wrote)
 	}
 	if i.again {
 		i.again = false
@@ -121,6 +134,7 @@
 	i.live = nil
 	i.earlier, i.tries, i.open = i.earlier+i.tries, 0, 0
 	i.run.front.Died(i.c.Name)
+	i.run.watch.tell(i.c.Name, "killed")
 	c.signal(syscall.SIGKILL)
 }
 
@@ -132,6 +146,7 @@
 	if c := i.live; c != nil && !c.leaving {
 		c.leaving = true
 		i.run.front.Leaving(i.c.Name)
+		i.run.watch.tell(i.c.Name, "told SIGTERM")
 		c.signal(syscall.SIGTERM)
 	}
 }
@@ -149,6 +164,7 @@
 	if c.told = true; c.listens {
 		c.signal(syscall.SIGHUP)
 	}
+	i.run.watch.tell(i.c.Name, "told SIGHUP")
 }
 
 // line looks at a line of a node's log, and reports whether it is to be kept.
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -1,10 +1,12 @@
 // Package live plays a script in real time: the world of the lab on loopback
 // sockets, and each node as a process of its own, of the program that runs in
 // service. What package stage plays on a virtual clock and judges step by step,
-// this one plays as it would be met; it is watched, and not judged.
+// this one plays as it would be met; it is watched, and judged by little more
+// than what clients and peers see.
 package live
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -19,6 +21,7 @@
 	"olivebridge/internal/lab/figure"
 	"olivebridge/internal/lab/link"
 	"olivebridge/internal/lab/loop"
+	"olivebridge/internal/lab/sample"
 	"olivebridge/internal/lab/sockets"
 	"olivebridge/internal/lab/world"
 	"olivebridge/internal/lab/world/client"
@@ -33,6 +36,7 @@
 	Length time.Duration // in place of the script's own; 0: that
 	Tap    link.Tap      // sees what crosses the world's ends of connections; may be nil. It is called on the loop
 	Log    io.Writer     // gets a line for what goes wrong with the run itself; may be nil
+	Watch  sample.Sink   // hears how the run goes; may be nil. It is told on the loop, and no more once the run is over
 }
 
 const (
@@ -64,6 +68,8 @@
 	undo      []undo            // what Do has done
 	before    watched           // of the last Table
 	behind    time.Duration     // since then
+	watch     watch
+	judge     *judge
 
 	halt     chan struct{} // closed by Stop
 	halts    sync.Once
@@ -71,14 +77,16 @@
 	children sync.WaitGroup // processes of nodes
 	last     Snapshot       // once over
 	mu       sync.Mutex
-	trouble  error
+	trouble  error    // the first there was
+	machine  error    // the first that is not a node's
+	broken   []string // rules, by nodes' processes
 }
 
 // Start starts the world and its nodes, and returns once clients can be sent to
 // all of them; the script's time begins then. The run ends at the script's end,
 // by Stop, or with ctx.
 func Start(ctx context.Context, s *fault.Script, o Options) (*Run, error) {
-	if err := playable(s); err != nil {
+	if err := Playable(s); err != nil {
 		return nil, err
 	}
 	r := &Run{
@@ -89,6 +97,8 @@
 		r.options.Length = s.Length.D()
 	}
 	r.net = sockets.New(r.loop, o.Tap)
+	r.watch = watch{run: r, to: o.Watch}
+	r.judge = newJudge(s.World.Contract.TryLimit, remembered(s), r.watch.now)
 	if err := r.build(); err != nil {
 		r.net.Close()
 		return nil, err
@@ -102,8 +112,8 @@
 	return r, nil
 }
 
-// playable reports what keeps a script from being played on sockets.
-func playable(s *fault.Script) error {
+// Playable reports what keeps a script from being played on sockets.
+func Playable(s *fault.Script) error {
 	if err := s.Check(); err != nil {
 		return err
 	}
@@ -134,7 +144,7 @@
 	r.discovery = c.Discovery.Addr
 	for _, p := range c.Peers {
 		one := &server{run: r, c: p, Peer: peer.New(p, peer.Env{
-			Loop: r.loop, Fabric: r.net, Seed: s.Seed, Facts: facts, Classes: c.Classes, Listed: r.registry,
+			Loop: r.loop, Fabric: r.net, Seed: s.Seed, Facts: facts, Classes: c.Classes, Listed: r.registry, Tries: r.judge,
 		})}
 		r.peers = append(r.peers, one)
 		if p.Late {
@@ -147,7 +157,7 @@
 	r.front = client.NewFront(c.Front, c.Nodes, client.FrontEnv{Loop: r.loop, Fabric: r.net, Seed: s.Seed})
 	env := client.Env{
 		Loop: r.loop, Fabric: r.net, Seed: s.Seed, Facts: facts, Classes: c.Classes, Tenants: c.Tenants,
-		Front: r.front, Contract: c.Contract,
+		Front: r.front, Contract: c.Contract, Ended: r.watch.request, Heard: r.judge.heard,
 	}
 	for _, one := range c.Clients {
 		r.crowds = append(r.crowds, client.New(one, env))
@@ -176,15 +186,6 @@
 	}
 }
 
-// witness hears what discovery lists.
-type witness struct {
-	fact.Nobody
-	run *Run
-}
-
-// Listed implements fact.Witness.
-func (w witness) Listed(_ int64, peer, _, state string, _ time.Duration) { w.run.listed[peer] = state }
-
 // play is the run's loop, from the start of the nodes to the end of everything.
 func (r *Run) play(ctx context.Context, ready chan<- error) {
 	defer close(r.over)
@@ -211,7 +212,9 @@
 	ready <- nil
 	length := r.zero + r.options.Length
 	if r.loop.Run(ctx, length, nil); ctx.Err() == nil {
-		r.loop.Run(ctx, length+ending, r.quiet)
+		if !r.loop.Run(ctx, length+ending, r.quiet) && ctx.Err() == nil {
+			r.breaks("rest", "clients still wait %v after the end", ending)
+		}
 	}
 	r.end()
 }
@@ -234,6 +237,7 @@
 // begin lets the script's time begin.
 func (r *Run) begin() {
 	r.zero = r.loop.Now()
+	r.watch.begin()
 	s, c := r.script, &r.script.World
 	s.Length = figure.Span(r.zero + r.options.Length)
 	for i := range s.Faults {
@@ -263,6 +267,8 @@
 	for _, g := range r.rogues {
 		g.Stop()
 	}
+	r.watch.end()
+	r.misled()
 	r.front.Stop()
 	r.last = r.table()
 	for _, n := range r.nodes {
@@ -275,7 +281,7 @@
 	})
 	for _, n := range r.nodes {
 		if n.live != nil {
-			r.fail("node %s had not ended %v after SIGTERM", n.c.Name, leaving)
+			r.breaks("rest", "node %s had not ended %v after SIGTERM", n.c.Name, leaving)
 			n.Kill()
 		}
 	}
@@ -285,6 +291,25 @@
 	}
 }
 
+// remembered is how long a call may still be of account after it came to a peer.
+func remembered(s *fault.Script) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.World.Classes {
+		longest = max(longest, c.Deadline.D())
+	}
+	return longest + 10*time.Second
+}
+
+// misled finds rogues that were served what must not be.
+func (r *Run) misled() {
+	for i, g := range r.rogues {
+		kind := r.script.World.Rogues[i].Kind
+		if n := g.Results().Served; n > 0 && !client.Lawful(kind) {
+			r.judge.breaks("bad", "%d requests of the kind %s were served", n, kind)
+		}
+	}
+}
+
 func (r *Run) quiet() bool {
 	return !slices.ContainsFunc(r.crowds, func(c *client.Crowd) bool { return !c.Quiet() }) &&
 		!slices.ContainsFunc(r.rogues, func(g *client.Rogue) bool { return !g.Quiet() })
@@ -313,14 +338,43 @@
 	err := fmt.Errorf(format, args...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.trouble == nil {
-		r.trouble = err
-	}
+	r.machine = cmp.Or(r.machine, err)
+	r.note(err)
+}
+
+// note keeps the first trouble, and tells of it. It is called with the lock held.
+func (r *Run) note(err error) {
+	r.trouble = cmp.Or(r.trouble, err)
 	if r.options.Log != nil {
 		fmt.Fprintln(r.options.Log, err)
 	}
 }
 
+// breaks notes that a node breaks a rule by what becomes of its process.
+func (r *Run) breaks(rule, format string, args ...any) {
+	err := fmt.Errorf(format, args...)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.note(err)
+	r.broken = append(r.broken, fmt.Sprintf("%s at %.6fs: %v", rule, r.watch.now().Seconds(), err))
+}
+
+// Machine is the first thing that went wrong for which no node is to blame.
+func (r *Run) Machine() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine
+}
+
+// Broken are the rules that nodes broke, one line each: those of their processes
+// first. It is known once the run is over.
+func (r *Run) Broken() []string {
+	<-r.over
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append(r.broken[:len(r.broken):len(r.broken)], r.judge.all()...)
+}
+
 // Err is the first thing that went wrong with the run itself: a node that ended
 // unasked, descriptors used up.
 func (r *Run) Err() error {
--- /dev/null
+++ b/internal/lab/live/watch.go
@@ -0,0 +1,109 @@
+package live
+
+import (
+	"time"
+
+	"olivebridge/internal/lab/fact"
+	"olivebridge/internal/lab/sample"
+)
+
+// readEach is how often peers and processes are read.
+const readEach = 250 * time.Millisecond
+
+// watch tells whoever watches a run how it goes, from the beginning of the
+// script's time until the clients have their outcomes. It belongs to the loop.
+type watch struct {
+	run  *Run
+	to   sample.Sink // nil: nobody watches
+	on   bool
+	base []time.Duration // processor time of each node at the beginning
+	used []time.Duration // the most that was read of it: a process that is gone is counted late
+}
+
+// begin begins the telling.
+func (w *watch) begin() {
+	if w.to == nil {
+		return
+	}
+	w.on = true
+	w.used = make([]time.Duration, len(w.run.nodes))
+	for _, n := range w.run.nodes {
+		w.base = append(w.base, n.used+usedBy(n.pid()))
+	}
+	w.read()
+	w.next(w.run.zero + readEach)
+}
+
+// next reads at an instant, and so on.
+func (w *watch) next(at time.Duration) {
+	w.run.loop.At(at, func() {
+		if w.on {
+			w.read()
+			w.next(max(at+readEach, w.run.loop.Now()))
+		}
+	})
+}
+
+// end ends it.
+func (w *watch) end() {
+	if w.on {
+		w.read()
+		w.on = false
+	}
+}
+
+// now is the script's time.
+func (w *watch) now() time.Duration { return w.run.loop.Now() - w.run.zero }
+
+// read tells how peers and nodes stand.
+func (w *watch) read() {
+	r := sample.Reading{At: w.now()}
+	for _, p := range w.run.peers {
+		s := p.Stats()
+		r.Peers = append(r.Peers, sample.Peer{Name: p.c.Name, Down: p.Down(), Held: s.Held, Arrived: s.Arrived})
+	}
+	for i, n := range w.run.nodes {
+		pid := n.pid()
+		w.used[i] = max(w.used[i], n.used+usedBy(pid)-w.base[i])
+		r.Nodes = append(r.Nodes, sample.Node{Name: n.c.Name, CPU: w.used[i], Resident: residentOf(pid)})
+	}
+	w.to.Reading(r)
+}
+
+// request tells what came of one. Its times are the loop's.
+func (w *watch) request(q sample.Request) {
+	if w.on {
+		zero := w.run.zero
+		q.Due, q.Begun, q.Ended = q.Due-zero, q.Begun-zero, q.Ended-zero
+		w.to.Request(q)
+	}
+}
+
+// tell tells of something that happened.
+func (w *watch) tell(who, what string) {
+	if w.on {
+		w.to.Event(sample.Event{At: w.now(), Who: who, What: what})
+	}
+}
+
+// witness hears what peers and discovery do.
+type witness struct {
+	fact.Nobody
+	run *Run
+}
+
+// PeerStarted implements fact.Witness, as do the methods below.
+func (w witness) PeerStarted(peer, _ string, cold bool) {
+	if cold {
+		w.run.watch.tell(peer, "started cold")
+	}
+}
+
+// PeerStopped implements fact.Witness.
+func (w witness) PeerStopped(peer string) { w.run.watch.tell(peer, "ended") }
+
+// Listed implements fact.Witness.
+func (w witness) Listed(_ int64, peer, _, state string, _ time.Duration) {
+	w.run.listed[peer] = state
+	w.run.watch.tell(peer, "listed "+state)
+}
--- a/internal/lab/report/figure.go
+++ b/internal/lab/report/figure.go
@@ -47,6 +47,8 @@
 		latency("p999", func(f *Figures) float64 { return f.P999 }),
 		{Name: "tries", of: func(f *Figures) (float64, bool) { return optional(f.Tries) }},
 		{Name: "cpu", Unit: "ms", Time: true, of: func(f *Figures) (float64, bool) { return optional(f.CPU) }},
+		{Name: "resident", Unit: "MB", of: func(f *Figures) (float64, bool) { return optional(f.Resident) }},
+		{Name: "growth", of: func(f *Figures) (float64, bool) { return optional(f.Growth) }},
 	}
 }
 
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -152,6 +152,11 @@
 	Max   float64  `json:"max_ms"`
 	Tries *float64 `json:"tries,omitempty"`  // that came to peers, per request; of all only
 	CPU   *float64 `json:"cpu_ms,omitempty"` // of the nodes, per request; where the clock can tell
+
+	// Memory of all nodes' processes, where the clock can tell: in the mean, and how many
+	// times as much it was in the last third of the phase as in its first.
+	Resident *float64 `json:"resident_mb,omitempty"`
+	Growth   *float64 `json:"growth,omitempty"`
 }
 
 // Phase is the figures of one.
--- a/internal/lab/world/client/client.go
+++ b/internal/lab/world/client/client.go
@@ -24,6 +24,15 @@
 	Front    *Front
 	Contract world.Contract
 	Ended    func(sample.Request) // hears what came of each request of a crowd; nil: nobody does
+	Heard    func(Answer)         // hears each answer to a crowd's try; nil: nobody does
+}
+
+// Answer is one that a client took for its call's.
+type Answer struct {
+	Call   string
+	Safe   bool // repeats of the call are harmless
+	Status int
+	Body   []byte // not to be kept
 }
 
 // port is where nodes listen.
--- a/internal/lab/world/client/kinds.go
+++ b/internal/lab/world/client/kinds.go
@@ -212,3 +212,9 @@
 	}
 	return kinds[i], true
 }
+
+// Lawful reports whether what rogues of a kind send is lawful by itself.
+func Lawful(kind string) bool {
+	k, ok := kindOf(kind)
+	return ok && k.Twin
+}
--- a/internal/lab/world/client/request.go
+++ b/internal/lab/world/client/request.go
@@ -152,6 +152,9 @@
 
 // answered takes the try's answer.
 func (t *try) answered(m *http1.Message) {
+	if hear := t.of.crowd.env.Heard; hear != nil {
+		hear(Answer{Call: t.id, Safe: t.of.spec().Safe, Status: m.Status, Body: m.Body})
+	}
 	switch m.Status {
 	case 200:
 		if !bytes.Contains(m.Body, []byte("call="+t.id+" ")) {
--- a/internal/lab/world/peer/peer.go
+++ b/internal/lab/world/peer/peer.go
@@ -28,7 +28,8 @@
 	Seed    uint64
 	Facts   fact.Witness
 	Classes []world.Class
-	Listed  Registrar // discovery, which shows it later
+	Listed  Registrar  // discovery, which shows it later
+	Tries   fact.Tries // nil: nobody hears them
 }
 
 // Registrar hears at once what a peer's process does.
--- a/internal/lab/world/peer/request.go
+++ b/internal/lab/world/peer/request.go
@@ -106,6 +106,9 @@
 	// All that arrives weighs, turned away or not, by its usual work: what a
 	// fault makes of it (dearer, or failing quickly) no node can know ahead.
 	work := a.base * q.cache.share(a.key, now)
+	if t := p.env.Tries; t != nil {
+		t.Came(p.c.Name, a.id, a.class.Safe)
+	}
 	p.env.Facts.PeerWork(p.c.Name, a.id, work, q.capacity(now))
 	if q.cold.pushed(now, work, q.capacity(now)) {
 		p.stats.Falls++
@@ -129,9 +132,17 @@
 
 func (c *conn) turnAway(a *call) {
 	c.of.p.stats.TurnedAway++
+	c.of.p.spares(a)
 	c.send(plain("503 Service Unavailable", rejected), a.last)
 }
 
+// spares tells that an attempt is answered without ever running.
+func (p *Peer) spares(a *call) {
+	if t := p.env.Tries; t != nil {
+		t.Spared(p.c.Name, a.id)
+	}
+}
+
 // finish is what comes of a call that has run.
 func (j *job) finish() {
 	a, c, q := j.call, j.conn, j.of
--- a/internal/lab/world/peer/serve.go
+++ b/internal/lab/world/peer/serve.go
@@ -153,6 +153,7 @@
 			continue
 		}
 		s.of.p.stats.Overdue++
+		s.of.p.spares(a)
 		c.send(plain("504 Gateway Timeout", rejected), a.last)
 		c.read()
 	}
