Drop the order of a key's requests, which no class here asks for; refuse its setting

Change: lines, turns and rests go; a class that asks for the order gets one clear error from the decoder instead of being served out of order.

--- a/brain/api.go
+++ b/brain/api.go
@@ -71,7 +71,6 @@
 	Scope      Scope
 	Window     time.Duration
 	Stream     bool
-	Serial     bool // requests with one key run one at a time, in the order taken
 }
 
 // Tenant is one customer and its share of the fleet.
@@ -91,7 +90,6 @@
 	Ask            bool          // the list comes only when asked for
 	AskEvery       time.Duration // longest pause between questions without a watch
 	DrainGrace     time.Duration // sends to a draining or gone server end within this time
-	Settle         time.Duration // a key in order rests this long after an attempt that may still run
 	DroppedStay    bool          // gone alone does not bind, draining does
 	ColdShare      float64       // a server starts with this share of its capacity or more
 	Cold           time.Duration // and is warm after this time at most
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -50,7 +49,7 @@
 	b := &Balancer{
 		set: set.bounded(), host: host, now: now, started: now, rng: seed ^ 0x9e3779b97f4a7c15,
 		dirty: true, built: -1,
-		byID: map[ServerID]*server{}, open: map[RequestID]*request{}, byKey: map[uint64]*line{},
+		byID: map[ServerID]*server{}, open: map[RequestID]*request{},
 		carryAt: now, askAt: now, retries: 3, window: math.Inf(1),
 	}
 	anew := standing{rest: 1}
@@ -111,33 +110,7 @@
 	b.open[r.id] = r
 	b.retries, b.copies = min(b.retries+retryShare, 10), min(b.copies+copyShare*b.hush, 10)
 	b.probes = min(b.probes+min(probeShare, probeCost/max(b.set.ProbePrice, 1e-9)), probesHeld)
-	if c.Serial && r.key != 0 && !b.join(r) {
-		b.giveUp(r)
-	} else {
-		b.forward(r)
-	}
-}
-
-// join puts a request at the end of its key's line and reports whether its turn can come in time. It guards
-// the order of effects on a key, and costs a hot one all that one at a time cannot carry: it is refused.
-func (b *Balancer) join(r *request) bool {
-	l := b.byKey[r.key]
-	if l == nil {
-		l = &line{}
-		b.byKey[r.key] = l
-	}
-	ahead := max(l.rest-b.now, 0)
-	for _, q := range l.in {
-		ahead += Time(q.class.lat * float64(time.Second))
-	}
-	r.line, l.in = l, append(l.in, r)
-	return ahead <= min(Time(r.class.Aim), r.deadline-b.now)-Time(r.class.lat*float64(time.Second))
-}
-
-// turn reports whether the order of its key lets a request be sent: every earlier one is over with no
-// attempt out, and the key has rested since an attempt that may still run.
-func (b *Balancer) turn(r *request) bool {
-	return r.line == nil || r.line.in[0] == r && (r.n > 0 || b.now >= r.line.rest)
+	b.forward(r)
 }
 
 // overShare counts a request against its tenant's quota, this node's part of it.
@@ -156,7 +129,7 @@
 
 // forward sends the next attempt of a request, lets it wait, or gives it up.
 func (b *Balancer) forward(r *request) {
-	if b.now < r.deadline && r.n < b.set.TryLimit && b.turn(r) {
+	if b.now < r.deadline && r.n < b.set.TryLimit {
 		if s := b.pick(r); s != nil {
 			b.send(r, s)
 			return
@@ -167,8 +140,7 @@
 	}
 }
 
-// wait lets a request stand by for its turn, or for room during part of the slack that its aim leaves, the
-// most worth first. It rides out a burst where spilling would make work and refusing would lose worth, and
+// wait lets a request stand by for room during part of the slack that its aim leaves, the most worth first. It rides out a burst where spilling would make work and refusing would lose worth, and
 // costs what is refused in the end that much time.
 func (b *Balancer) wait(r *request) bool {
 	if r.queued {
@@ -176,9 +148,6 @@
 	}
 	lat := Time(r.class.lat * float64(time.Second))
 	slack := (r.arrived + Time(r.class.Aim) - b.now - 2*lat) / 2
-	if !b.turn(r) {
-		slack = r.arrived + Time(r.class.Aim) - lat - b.now
-	}
 	if r.until = min(b.now+slack, r.deadline-Time(2*tickEvery)); !b.full || r.n > 0 || r.until <= b.now {
 		return false
 	}
@@ -190,7 +159,7 @@
 	return true
 }
 
-// admit lets those who wait go whose turn and room have come, and gives up those whose wait is over.
+// admit lets those who wait go whose room has come, and gives up those whose wait is over.
 func (b *Balancer) admit() {
 	for _, r := range slices.Clone(b.waiting) {
 		if r.queued {
@@ -291,7 +260,7 @@
 
 // send is the one place from which attempts leave.
 func (b *Balancer) send(r *request, s *server) {
-	if r.done || b.now >= r.deadline || !b.listed(s) || !b.may(r, s) || !b.turn(r) {
+	if r.done || b.now >= r.deadline || !b.listed(s) || !b.may(r, s) {
 		panic("brain: a send that breaks a rule") // the callers have asked
 	}
 	if s.inflight == 0 {
@@ -340,9 +309,6 @@
 	b.landed(a)
 	b.learn(r, a, o)
 	defer b.admit()
-	if r.line != nil && (o.Result == TimedOut || o.Result == Reset || o.Result == Cancelled) {
-		r.line.rest = b.now + Time(b.set.Settle)
-	}
 	if r.done || o.Closed {
 		r.done = r.done || o.Result == OK // a copy goes on, to tell whether it is overtaken
 		b.end(r)
@@ -458,9 +424,6 @@
 	}
 	if r.out == 0 {
 		delete(b.open, r.id)
-		if l := r.line; l != nil {
-			l.in = slices.DeleteFunc(l.in, func(q *request) bool { return q == r })
-		}
 	}
 }
 
@@ -697,7 +660,6 @@
 	b.watch()
 	b.sweep()
 	b.admit()
-	maps.DeleteFunc(b.byKey, func(_ uint64, l *line) bool { return len(l.in) == 0 && now >= l.rest })
 	b.measure()
 	silence := Time(4 * b.lat * float64(time.Second))
 	b.probes += tickEvery.Seconds() / maxInterval.Seconds()
--- a/brain/state.go
+++ b/brain/state.go
@@ -44,17 +44,10 @@
 	cost, share              float64 // share: part of a server's limit it may use
 	luck, blame              float64 // fraction of a window it needs; its class's or tenant's bad
 	n, out                   int
-	done, queued, deadly     bool  // deadly: its connection broke, it may have brought the server down
-	line                     *line // its key's, where its class keeps the order
+	done, queued, deadly     bool // deadly: its connection broke, it may have brought the server down
 	attempts                 [maxAttempts]attempt
 }
 
-// line holds the requests of one key, in the order taken, whose classes keep that order.
-type line struct {
-	in   []*request
-	rest Time // nothing further is sent before
-}
-
 // standing is how the outcomes of a class or tenant, and all others', went: 0 at once, 1 late or not at all.
 type standing struct{ bad, rest float64 }
 
@@ -93,8 +86,7 @@
 	servers                 []*server // by ID
 	byID                    map[ServerID]*server
 	open                    map[RequestID]*request
-	byKey                   map[uint64]*line
-	waiting                 []*request         // for their turn or for room, the most worth first
+	waiting                 []*request         // for room, the most worth first
 	table, near             [tableSize]*server // near: of this zone's servers alone
 	keep, largest           float64            // share of keys that stay in the zone; largest listed size
 	full, dirty             bool               // the table holds servers; it is to be built anew
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,13 +55,6 @@
 	return time.Duration(min(p.number(key), math.MaxInt64/4))
 }
 
-func (p *parser) optionalDuration(key string) time.Duration {
-	if _, ok := p.pairs[key]; !ok {
-		return 0
-	}
-	return p.duration(key)
-}
-
 func (p *parser) flag(key string) bool {
 	v, err := strconv.ParseBool(p.text(key))
 	if err != nil {
@@ -112,7 +105,7 @@
 // Decode reads settings from their paths and values. Unknown keys are passed
 // over. Optional are tenants (none), classes[].aim_stretch (0),
 // contract.dropped_stay_open (false),
-// classes[].serial_by_key (false), contract.settle_after_doubt (0), over_share_worth (1) and ask_every,
+// over_share_worth (1) and ask_every,
 // which is needed only where the list must be asked for. extra.warm_keys and
 // extra.passes_deadline are not read: the module always keeps keys to their servers, and uses neither.
 func Decode(pairs map[string]string) (brain.Settings, error) {
@@ -125,7 +118,6 @@
 		Ask:            choice(p, "discovery", map[string]bool{"subscribe": true, "automatic": false}),
 		DrainGrace:     p.duration("contract.drain_grace"),
 		DroppedStay:    p.optionalFlag("contract.dropped_stay_open"),
-		Settle:         p.optionalDuration("contract.settle_after_doubt"),
 		ColdShare:      p.number("contract.cold_share"),
 		Cold:           p.duration("contract.cold"),
 		Overload:       p.number("contract.overload_factor"),
@@ -150,10 +142,12 @@
 		c := brain.Class{
 			Aim: p.duration(k + "aim"), AimStretch: p.optional(k+"aim_stretch", 0), Deadline: p.duration(k + "deadline"),
 			Worth: p.number(k + "gain"), LateWorth: p.optional(k+"late_worth", 0), Stream: p.optionalFlag(k + "stream"),
-			Serial: p.optionalFlag(k + "serial_by_key"),
 			Effect: choice(p, k+"idempotency", map[string]brain.Effect{
 				"pure": brain.Pure, "token": brain.Token, "side_effect": brain.SideEffect}),
 		}
+		if p.optionalFlag(k + "serial_by_key") {
+			p.fail(k+"serial_by_key", "the order of a key's requests is not kept")
+		}
 		if c.Effect == brain.Token {
 			c.Scope = choice(p, k+"key_scope", map[string]brain.Scope{
 				"all": brain.ScopeAll, "zone": brain.ScopeZone, "cell": brain.ScopeCell})
