Keep servers to their part of what a thin node sends, and drop seldom heard ones at once

At fault: fits (limits of 4 in flight a server and node, never met at 20 requests a second over 60 servers), witness (three failures, at one try in three seconds), learn (the mean wait moves by a tenth an answer). Ruled out: servers that lose answers (each answers well until its load rises); new connections (8 ms more a handshake, in tries and probes alike).

Change: a node counts its tries by server over 10 s and passes over one that has had more than its part by weight and by how its last answers waited, with room for what the node sees in a second; a key of the zone takes the least sent of six servers there rather than cross. While others answer, a failure counts for the seconds without a good answer, up to three. The mean wait follows time.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,14 +18,16 @@
 	probeEvery, probeFast, probeDown        = 2 * time.Second, 1 * time.Second, 4 * time.Second
 	forgetAfter, warmup                     = time.Minute, 30 * time.Second
 	probeShare, probesHeld                  = 0.1, 4.0        // probes a request at most, and in hand
-	spill, nearSpill, groupTries            = 8, 2, 48        // entries: of a key, of its zone, see pick
+	spill, nearSpill, groupTries            = 12, 6, 48       // entries: of a key, of its zone, see pick
 	badStep, medianStep, hushStep           = 0.1, 0.02, 0.02 // weight of one outcome
 	retryShare, copyShare                   = 0.15, 4.0       // further attempts a request; see second
 	firstLimit, leastLimit                  = 4, 1.5          // in flight: new servers, the largest at least
 	calm, late                              = 0.2, 0.55       // waits, as shares of the aim: see learn, pace
 	zoneRoom, zoneWorth                     = 1.2, 0.1        // keys that stay, cost of imbalance: see build
 	tableSize, weightSteps                  = 2039, 64        // a prime; weights are rounded to this part
-	tickRef, copyRef                 uint64 = 1, 2            // copyRef: and on, of a request's second copy
+	evenOver, easeOver                      = 10 * time.Second, 2 * time.Second
+	evenStart, evenFade                     = 0.5, 1 - float64(tickEvery)/float64(evenOver) // see even
+	tickRef, copyRef                 uint64 = 1, 2                                          // copyRef: and on, of a request's second copy
 
 	maxInterval  = 5 * time.Second // a node without traffic sends one probe in this time
 	probeTimeout = 1 * time.Second
@@ -191,19 +193,42 @@
 	if r.n > 0 {
 		tries = groupTries
 	}
+	var spare *server
 	for i := range tries {
+		if i == nearSpill && near && spare != nil {
+			break // a server of the zone that is sent more than its part beats a crossing
+		}
 		s := b.table[h%tableSize]
 		if near && i < nearSpill || r.out > 0 && b.keep > 0 {
 			s = b.near[h%tableSize]
 		}
 		if b.fits(r, s, share) {
-			return s
+			if b.even(r, s) {
+				return s
+			}
+			if spare == nil || s.sent/b.pull(s) < spare.sent/b.pull(spare) {
+				spare = s
+			}
 		}
 		if h = mix(h); i < spill {
 			share *= spillRoom
 		}
 	}
-	return nil
+	return spare
+}
+
+// even reports whether a further request keeps s within its part of what this node sends. A node that hears
+// from each server seldom meets no limit before a hot key of all nodes has filled one; what it sees for
+// itself, it need not foresee. It costs such a key a few more servers.
+func (b *Balancer) even(r *request, s *server) bool {
+	n := float64(len(b.servers))
+	room := 1 + b.sent/n/evenOver.Seconds()
+	return s.sent+r.luck <= room*(b.sent+evenStart*n)*b.pull(s)/b.weights
+}
+
+// pull is the weight of s, less where its answers wait.
+func (b *Balancer) pull(s *server) float64 {
+	return float64(s.weight) * (1 - min(max(1.5*(s.ease-calm), 0), 0.9))
 }
 
 // entry is where the table's choice for a request starts.
@@ -270,6 +295,8 @@
 	s.inflight++
 	b.inflight++
 	s.spent += r.pay()
+	s.sent++
+	b.sent++
 	r.attempts[r.n] = attempt{to: s, sent: b.now, out: true}
 	r.n, r.out = r.n+1, r.out+1
 	b.host.Send(r.id, s.ID, 0)
@@ -446,7 +473,7 @@
 	}
 	if good {
 		b.hush -= hushStep * b.hush
-		s.served, s.newest = b.now, max(s.newest, a.sent)
+		s.served, b.good, s.newest = b.now, b.now, max(s.newest, a.sent)
 		s.done += r.cost
 		c, x := r.class, o.Latency.Seconds()/max(aim.Seconds(), 1e-3)
 		c.base = min(c.base+0.001, 0.5)
@@ -459,7 +486,8 @@
 	}
 	e = b.own(r, e)
 	if good || slow {
-		s.ease += 0.1 * (e - s.ease)
+		s.ease += max(0.1, 1-math.Exp(-float64(b.now-s.felt)/float64(easeOver))) * (e - s.ease)
+		s.felt = b.now
 		b.pace(e, aim)
 	}
 	switch {
@@ -471,7 +499,7 @@
 		b.cutLimit(s, 0.7, aim)
 	}
 	if good || o.Result != TimedOut || s.served < a.sent {
-		b.witness(s, r, good)
+		b.witness(a, r, good)
 	}
 }
 
@@ -521,19 +549,23 @@
 // only as far as its class and tenant go well elsewhere. Probes that pass at a server where work fails are
 // passed over for a pause that doubles until an answer comes. It guards against servers that fail, hang or
 // lose work behind good probes.
-func (b *Balancer) witness(s *server, r *request, good bool) {
+func (b *Balancer) witness(a *attempt, r *request, good bool) {
+	s := a.to
 	if good {
 		s.pause = probeFast
 		b.count(s, true)
 		return
 	}
-	s.doubt = b.now + Time(b.jitter(s.pause))
-	s.pause = min(2*s.pause, 8*probeDown)
 	if s.unknown && s.fresh {
 		s.unknown, s.counter = false, rise+fall-1 // taken for Up, it has as far to fall
 	}
-	if s.blame += 1 - r.blame; s.blame >= 1 {
-		s.blame--
+	steps := 1.0
+	if b.good > a.sent-Time(probeFast) { // others answer: one heard seldom has had its chances
+		steps = min(max(float64(b.now-s.served)/float64(probeFast), 1), fall)
+	}
+	s.blame += (1 - r.blame) * steps
+	for s.doubt = b.now + Time(b.jitter(s.pause)); s.blame >= 1; s.blame-- {
+		s.pause = min(2*s.pause, 8*probeDown)
 		b.count(s, false)
 	}
 }
@@ -661,6 +693,7 @@
 	b.sweep()
 	b.admit()
 	b.measure()
+	b.sent *= evenFade
 	silence := Time(4 * b.lat * float64(time.Second))
 	b.probes += tickEvery.Seconds() / maxInterval.Seconds()
 	from := b.short
@@ -668,6 +701,7 @@
 	for i := range b.servers {
 		at := (from + i) % len(b.servers)
 		s := b.servers[at]
+		s.sent *= evenFade
 		if !b.listed(s) {
 			if s.outAt == 0 {
 				b.judge(s)
@@ -865,7 +899,7 @@
 			own, n = own+float64(s.weight), n+1
 		}
 	}
-	b.full = most > 0
+	b.weights, b.full = all, most > 0
 	b.fill(&b.table, most, func(s *server) bool { return s.weight > 0 })
 	b.keep = 0
 	if b.set.Zones > 1 && n > 1 && n*b.set.CrossPrice >= zoneWorth {
--- a/brain/state.go
+++ b/brain/state.go
@@ -13,6 +13,8 @@
 	unknown, fresh    bool // no result yet; none since this node started: counts as Up for the warm-up
 	counter, inflight int
 	weight, credit    int
+	sent              float64
+	felt              Time
 	size, limit, done float64 // done: work since the last measure
 	ease, blame       float64 // mean wait as a share of the aim; failures of real work not yet counted
 	probeAt, probing  Time    // when the next probe is due; when the one out was sent, 0: none
@@ -101,6 +103,8 @@
 	carryAt, askAt, logFrom Time    // logFrom: one line is free for each second since
 	asking, watched         bool
 	fails                   int
+	sent, weights           float64
+	good                    Time
 }
 
 func (b *Balancer) random() uint64 {
