--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,10 +70,6 @@
 	n.stop = stop
 	n.run(func() error { return n.router.Run(ctx) })
 	n.run(n.front.Serve)
-	n.log.Info("DBGSET", "set", fmt.Sprintf("%+v", c.Settings), "cfg", fmt.Sprintf("%+v", clientBounds(c)), "carrier", fmt.Sprintf("%+v", n.carrierConfig(c)))
-	n.log.Info("DBGSET", "set", fmt.Sprintf("%+v", c.Settings), "cfg", fmt.Sprintf("%+v", clientBounds(c)), "carrier", fmt.Sprintf("%+v", n.carrierConfig(c)))
-	n.log.Info("DBGSET", "set", fmt.Sprintf("%+v", c.Settings), "cfg", fmt.Sprintf("%+v", clientBounds(c)), "carrier", fmt.Sprintf("%+v", n.carrierConfig(c)))
-	n.log.Info("DBGSET", "set", fmt.Sprintf("%+v", c.Settings), "cfg", fmt.Sprintf("%+v", clientBounds(c)), "carrier", fmt.Sprintf("%+v", n.carrierConfig(c)))
 	n.log.Info("started", "name", c.Name, "listen", listener.Addr().String(), "peers", len(c.Known.Entries),
 		"version", c.KnownVersion)
 	return n, nil
