Add the operators' door, maintenance of servers and a pause of the node

The door (internal/admin) reads one line a connection and hands a call to the node's desk; it waits for nothing of the decisions. Maintenance (internal/maintenance) is a pure register between lists and module: it shows a suspended server as draining and a restored one as started no earlier than its restart can have been, and holds a mark that is asked where the first byte leaves. Pause and planned end are one state of the front, with one owner (transport/leaving.go).

--- a/cmd/olivebridge/main_test.go
+++ b/cmd/olivebridge/main_test.go
@@ -44,6 +44,7 @@
 	addr   string
 	log    io.Closer
 	config string      // the file's path
+	known  []string    // the peers' addresses
 	lines  chan string // what it writes, closed at its end
 }
 
@@ -68,17 +69,18 @@
 	t.Helper()
 	list := httptest.NewServer(discovery)
 	t.Cleanup(list.Close)
-	var known []string
+	var known, addrs []string
 	started := int64(0)
 	for i, peer := range peers {
 		server := httptest.NewServer(peer)
 		t.Cleanup(server.Close)
+		addrs = append(addrs, server.Listener.Addr().String())
 		known = append(known, fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"a","kind":"m1","state":"Ready","started_ms":%d}`,
 			i, server.Listener.Addr(), started))
 		started = time.Now().UnixMilli()
 	}
 	env := environment(t, "127.0.0.1:0", list.Listener.Addr().String(), fmt.Sprintf(config, strings.Join(known, ",")))
-	n := &process{lines: make(chan string, 1000), config: strings.TrimPrefix(env[3], "ROUTER_CONFIG=")}
+	n := &process{known: addrs, lines: make(chan string, 1000), config: strings.TrimPrefix(env[3], "ROUTER_CONFIG=")}
 	n.cmd = program(t, env...)
 	out, err := n.cmd.StderrPipe()
 	if err != nil {
--- /dev/null
+++ b/cmd/olivebridge/operate_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// freeAddr is an address that nobody listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// call makes a call at an operators' door; "" if nobody is there.
+func call(t *testing.T, door, line string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", door)
+	if err != nil {
+		return ""
+	}
+	defer c.Close()
+	fmt.Fprintln(c, line)
+	got, _ := io.ReadAll(c)
+	return string(got)
+}
+
+func must(t *testing.T, door, line string) {
+	t.Helper()
+	if got := call(t, door, line); !strings.HasPrefix(got, "SUCCESS") {
+		t.Errorf("%s: %q", line, got)
+	}
+}
+
+// TestMaintenance: from the yes on a suspended server gets nothing, also when
+// the upstream group goes on listing it as ready, and restored it is used again.
+func TestMaintenance(t *testing.T) {
+	door := freeAddr(t)
+	t.Setenv("ROUTER_ADMIN", door)
+	var tries [2]atomic.Int64
+	storm := make(chan bool)
+	var n *process
+	n = start(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-storm: // whole lists that say nothing of maintenance, one after the other
+			time.Sleep(time.Millisecond)
+			fmt.Fprintf(w, `{"version":2,"full":true,"servers":[`)
+			for i, addr := range n.known {
+				fmt.Fprintf(w, `%s{"id":"s-%d","addr":%q,"zone":"a","kind":"m1","state":"Ready","started_ms":0}`,
+					[]string{"", ","}[i], i, addr)
+			}
+			io.WriteString(w, "]}")
+		case <-r.Context().Done():
+		}
+	}, func(http.ResponseWriter, *http.Request) { tries[0].Add(1) },
+		func(http.ResponseWriter, *http.Request) { tries[1].Add(1) })
+	if got := call(t, door, "SUSPEND s-9"); !strings.HasPrefix(got, "FAILURE") {
+		t.Errorf("a server that was never listed: %q", got)
+	}
+	load := func(calls int) {
+		for i := range calls {
+			n.ask(t, "GET", fmt.Sprint("/api?user=k", i), "status", "")
+		}
+	}
+	close(storm)
+	load(50)
+	must(t, door, "SUSPEND s-0")
+	before := tries[0].Load()
+	load(200)
+	if got := tries[0].Load(); got != before || before == 0 {
+		t.Errorf("%d tries before the yes, %d after", before, got-before)
+	}
+	must(t, door, "SUSPEND s-1")
+	if status, _ := n.ask(t, "GET", "/api", "status", ""); status != 503 {
+		t.Errorf("with all suspended: %d", status)
+	}
+	must(t, door, "RESTORE s-0")
+	for until := time.Now().Add(5 * time.Second); tries[0].Load() == before && time.Now().Before(until); {
+		load(1)
+	}
+	if tries[0].Load() == before {
+		t.Error("not in use 5 s after the call back")
+	}
+}
+
+// TestPause: a paused node says no, serves what still comes, holds no client
+// connection idle, and is back at once.
+func TestPause(t *testing.T) {
+	door := freeAddr(t)
+	t.Setenv("ROUTER_ADMIN", door)
+	n := start(t, unchanged, func(http.ResponseWriter, *http.Request) {})
+	ready := func() int { status, _ := n.ask(t, "GET", "/health/ready", "", ""); return status }
+	idle, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	fmt.Fprint(idle, "GET /api HTTP/1.1\r\nHost: a\r\nX-Call-Id: 1\r\nX-Call-Class: status\r\nX-Caller: acme\r\nX-Budget: 5\r\n\r\n")
+	for range 2 {
+		must(t, door, "PAUSE")
+		if got := ready(); got != 503 {
+			t.Errorf("ready while paused: %d", got)
+		}
+	}
+	if status, _ := n.ask(t, "GET", "/api", "status", ""); status != 200 {
+		t.Errorf("a call while paused: %d", status)
+	}
+	begun := time.Now()
+	answer, _ := io.ReadAll(idle) // to the end of the connection
+	if d := time.Since(begun); !strings.Contains(string(answer), "200 OK") || d > 1500*time.Millisecond {
+		t.Errorf("%q, held for %v", answer, d)
+	}
+	if got := call(t, door, "STATUS"); !strings.HasPrefix(got, "SUCCESS paused") {
+		t.Errorf("status: %q", got)
+	}
+	must(t, door, "RESUME")
+	if got := ready(); got != 200 {
+		t.Errorf("ready after the pause: %d", got)
+	}
+	n.ask(t, "GET", "/api", "status", "")
+	must(t, door, "PAUSE")
+	must(t, door, "RESUME") // before the connections were come to
+	time.Sleep(700 * time.Millisecond)
+	if got := ready(); got != 200 {
+		t.Errorf("ready after a pause cut short: %d", got)
+	}
+}
--- /dev/null
+++ b/internal/admin/call.go
@@ -0,0 +1,53 @@
+// Package admin is the operators' door: a second address on which one line asks
+// one thing, and gets one line back.
+package admin
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// The calls.
+const (
+	Status  = "STATUS"
+	Suspend = "SUSPEND"
+	Restore = "RESTORE"
+	Pause   = "PAUSE"
+	Resume  = "RESUME"
+)
+
+// maxLine bounds a call, its end included.
+const maxLine = 512
+
+// Call is one line of an operator's.
+type Call struct {
+	Word string
+	ID   string // of a server; "" where the call has none
+}
+
+// Parse reads a line, without its end.
+func Parse(line string) (Call, error) {
+	if strings.ContainsFunc(line, func(c rune) bool { return c < ' ' || c > '~' }) {
+		return Call{}, errors.New("a byte that no call has")
+	}
+	words := strings.Fields(line)
+	if len(words) == 0 {
+		return Call{}, errors.New("an empty line")
+	}
+	c, rest := Call{Word: words[0]}, words[1:]
+	switch c.Word {
+	case Suspend, Restore:
+		if len(rest) != 1 {
+			return c, fmt.Errorf("%s wants the id of one server, and got %d", c.Word, len(rest))
+		}
+		c.ID = rest[0]
+	case Status, Pause, Resume:
+		if len(rest) != 0 {
+			return c, fmt.Errorf("%s stands alone", c.Word)
+		}
+	default:
+		return c, fmt.Errorf("unknown call %.40q; there are STATUS, SUSPEND, RESTORE, PAUSE and RESUME", c.Word)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/admin/door_test.go
@@ -0,0 +1,117 @@
+package admin
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// desk notes what was done.
+type desk chan Call
+
+func (d desk) Do(c Call) (string, error) {
+	d <- c
+	if c.ID == "unknown" {
+		return "", errors.New("no such\nserver")
+	}
+	return "done", nil
+}
+
+func open(t *testing.T) (addr string, done desk) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done = make(desk, 100)
+	d := Open(l, done, slog.New(slog.DiscardHandler))
+	t.Cleanup(d.Close)
+	return l.Addr().String(), done
+}
+
+func dial(t *testing.T, addr string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// TestCalls: each input gets one line, and only what is a call to the letter is done.
+func TestCalls(t *testing.T) {
+	addr, done := open(t)
+	for _, c := range []struct {
+		in, out string
+		done    Call
+	}{
+		{"STATUS\n", "SUCCESS done\n", Call{Word: Status}},
+		{"SUSPEND s-5be2a07c\r\n", "SUCCESS done\n", Call{Suspend, "s-5be2a07c"}},
+		{"RESTORE s-1\nPAUSE\n", "SUCCESS done\n", Call{Restore, "s-1"}}, // the first of two counts
+		{"PAUSE\n", "SUCCESS done\n", Call{Word: Pause}},
+		{" RESUME \n", "SUCCESS done\n", Call{Word: Resume}},
+		{"SUSPEND unknown\n", "FAILURE no such server\n", Call{Suspend, "unknown"}},
+		{"\n", "FAILURE an empty line\n", Call{}},
+		{"STOP\n", "FAILURE unknown call", Call{}},
+		{"pause\n", "FAILURE unknown call", Call{}},
+		{"SUSPEND\n", "FAILURE SUSPEND wants", Call{}},
+		{"SUSPEND a b\n", "FAILURE SUSPEND wants", Call{}},
+		{"PAUSE now\n", "FAILURE PAUSE stands alone\n", Call{}},
+		{"PAUSE", "FAILURE the line has no end\n", Call{}},
+		{"", "FAILURE the line has no end\n", Call{}},
+		{"SUSPEND a\x00\n", "FAILURE a byte that no call has\n", Call{}},
+		{"SUSPEND \xff\n", "FAILURE a byte that no call has\n", Call{}},
+		{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "FAILURE unknown call", Call{}},
+		{strings.Repeat("x", 2*maxLine) + "\n", "FAILURE the line is longer", Call{}},
+	} {
+		for _, each := range []int{len(c.in), 1} { // whole, and cut into single bytes
+			conn := dial(t, addr)
+			for in := c.in; in != ""; in = in[each:] {
+				io.WriteString(conn, in[:each])
+			}
+			conn.CloseWrite()
+			got, _ := io.ReadAll(conn)
+			if !strings.HasPrefix(string(got), c.out) || strings.Count(string(got), "\n") != 1 {
+				t.Errorf("%.40q: %q", c.in, got)
+			}
+			var did Call
+			select {
+			case did = <-done:
+			default:
+			}
+			if did != c.done {
+				t.Errorf("%.40q: done %+v", c.in, did)
+			}
+			if each == 0 {
+				break
+			}
+		}
+	}
+}
+
+// TestHolders: callers that say nothing keep nobody out, and the oldest go.
+func TestHolders(t *testing.T) {
+	addr, _ := open(t)
+	var held []*net.TCPConn
+	for range 3 * maxCallers {
+		c := dial(t, addr)
+		io.WriteString(c, "STAT")
+		held = append(held, c)
+	}
+	begun := time.Now()
+	c := dial(t, addr)
+	io.WriteString(c, "STATUS\n")
+	if got, err := io.ReadAll(c); err != nil || string(got) != "SUCCESS done\n" || time.Since(begun) > time.Second {
+		t.Errorf("%q, %v after %v", got, err, time.Since(begun))
+	}
+	for _, c := range held[:2*maxCallers] { // these are gone: only the bound is held
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Fatal("an old caller is told something")
+		}
+	}
+}
--- /dev/null
+++ b/internal/maintenance/maintenance.go
@@ -0,0 +1,196 @@
+// Package maintenance decides which servers operators keep out of use. It
+// stands between the lists of the upstream group and the decisions: a suspended
+// server is shown to them as draining, whatever lists say, and once put back as
+// one that has just started. It does no I/O and reads no clock.
+package maintenance
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"olivebridge/brain"
+)
+
+// most bounds the servers remembered that are neither listed nor suspended. At
+// one replacement a second it is over an hour of them.
+const most = 4096
+
+// Named is a server with the id that operators call it by.
+type Named struct {
+	brain.Server
+	Name string
+}
+
+// Register knows every server that was ever listed. It is safe for concurrent use.
+type Register struct {
+	mu      sync.Mutex
+	servers map[string]*entry
+	turn    uint64 // grows with each change of an entry
+}
+
+type entry struct {
+	said      brain.Server // as the upstream group has it; Gone if it lists it no more
+	ban       *Ban
+	since     brain.Time // when it was suspended
+	notBefore brain.Time // it counts as started no earlier; 0: as listed
+	touched   uint64
+}
+
+// Ban is a server's mark. Whoever is about to send the first byte of something
+// new asks it, since the decisions may not have heard of a ban yet.
+type Ban struct{ on atomic.Bool }
+
+// Holds reports whether nothing new may go to the server.
+func (b *Ban) Holds() bool { return b != nil && b.on.Load() }
+
+// New makes an empty Register.
+func New() *Register { return &Register{servers: map[string]*entry{}} }
+
+// UnknownError says that no list has ever named a server.
+type UnknownError string
+
+func (e UnknownError) Error() string {
+	return fmt.Sprintf("no list has ever named server %q", string(e))
+}
+
+// Learn takes a list in and gives what the decisions are to be shown in its
+// place. What a whole list does not name is gone.
+func (r *Register) Learn(kind brain.ListKind, list []Named) []brain.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if kind != brain.Delta {
+		named := make(map[string]bool, len(list))
+		for _, s := range list {
+			named[s.Name] = true
+		}
+		for name, e := range r.servers {
+			if !named[name] {
+				e.said.State = brain.Gone
+			}
+		}
+	}
+	shown := make([]brain.Server, 0, len(list))
+	for _, s := range list {
+		e := r.of(s.Name)
+		e.said = s.Server
+		r.touch(e)
+		shown = append(shown, e.shown())
+	}
+	r.forget()
+	return shown
+}
+
+func (r *Register) of(name string) *entry {
+	e := r.servers[name]
+	if e == nil {
+		e = &entry{ban: new(Ban)}
+		r.servers[name] = e
+	}
+	return e
+}
+
+func (r *Register) touch(e *entry) {
+	r.turn++
+	e.touched = r.turn
+}
+
+// shown is a server as the decisions are to see it. One that was suspended has
+// been restarted meanwhile: it counts as cold from when it was put back, unless
+// a list had told of the restart by then.
+func (e *entry) shown() brain.Server {
+	s := e.said
+	if e.ban.Holds() {
+		s.State = brain.Draining // binds, also where gone alone does not
+		return s
+	}
+	s.Born = max(s.Born, e.notBefore)
+	return s
+}
+
+// Suspend keeps a server out of use from its return on. Said again it changes nothing.
+func (r *Register) Suspend(name string, now brain.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.servers[name]
+	if e == nil {
+		return UnknownError(name)
+	}
+	r.touch(e)
+	if !e.ban.on.Swap(true) {
+		e.since = now
+	}
+	return nil
+}
+
+// Restore puts a server back, however often it was suspended.
+func (r *Register) Restore(name string, now brain.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.servers[name]
+	if e == nil {
+		return UnknownError(name)
+	}
+	r.touch(e)
+	if e.ban.on.Swap(false) && e.said.Born <= e.since {
+		e.notBefore = now
+	}
+	return nil
+}
+
+// Shown is what the decisions are to be shown of a server that was once listed.
+func (r *Register) Shown(name string) (s brain.Server, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.servers[name]
+	if e == nil || e.said.ID == 0 {
+		return s, false
+	}
+	return e.shown(), true
+}
+
+// BanOf is the mark of a server that was once listed; nil: it never was.
+func (r *Register) BanOf(name string) *Ban {
+	if r == nil { // a node without a door
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.servers[name]; e != nil {
+		return e.ban
+	}
+	return nil
+}
+
+// Suspended are the servers that are kept out of use now, in order.
+func (r *Register) Suspended() (names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, e := range r.servers {
+		if e.ban.Holds() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// forget bounds the memory: of what is gone and not suspended, the longest
+// unheard of goes first. The lock is held.
+func (r *Register) forget() {
+	if len(r.servers) <= most {
+		return
+	}
+	var idle []string
+	for name, e := range r.servers {
+		if e.said.State == brain.Gone && !e.ban.Holds() {
+			idle = append(idle, name)
+		}
+	}
+	slices.SortFunc(idle, func(a, b string) int { return cmp.Compare(r.servers[a].touched, r.servers[b].touched) })
+	for _, name := range idle[:min(len(idle), len(r.servers)-most*7/8)] { // some more, so that it is seldom done
+		delete(r.servers, name)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,8 @@
 	"net"
 	"sync"
 
+	"olivebridge/internal/admin"
+	"olivebridge/internal/maintenance"
 	"olivebridge/internal/protocol"
 	"olivebridge/internal/routing"
 	"olivebridge/internal/transport"
@@ -33,8 +35,10 @@
 	carrier *transport.Carrier
 	router  *routing.Router
 	front   *transport.Front
-	stop    context.CancelFunc // ends the decisions and all that they started
-	running sync.WaitGroup     // front and decisions
+	servers *maintenance.Register // nil without a door
+	door    *admin.Door           // nil: none
+	stop    context.CancelFunc    // ends the decisions and all that they started
+	running sync.WaitGroup        // front and decisions
 	failed  chan error
 
 	mu     sync.Mutex
@@ -48,14 +52,22 @@
 	if listen == nil {
 		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
-	listener, err := listen(c.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listening: %w", err)
-	}
 	n := &Node{parts: p, log: p.Log, config: c, failed: make(chan error, 2)}
 	if n.log == nil {
 		n.log = slog.New(slog.DiscardHandler)
 	}
+	operators := &desk{}
+	if c.Admin != "" {
+		n.servers = maintenance.New()
+		if err := n.openDoor(c.Admin, listen, operators); err != nil {
+			return nil, err
+		}
+	}
+	listener, err := listen(c.Listen)
+	if err != nil {
+		n.closeDoor()
+		return nil, fmt.Errorf("listening: %w", err)
+	}
 	n.carrier = transport.NewCarrier(n.carrierConfig(c))
 	carrier := routing.Carrier(n.carrier)
 	if p.Wrap != nil {
@@ -63,15 +75,18 @@
 	}
 	n.router = routing.New(routing.Config{
 		Settings: c.Settings, Seed: c.Seed, Known: c.Known, Carrier: carrier,
-		Watcher: n.newWatch(c, c.KnownVersion), Log: n.log,
+		Watcher: n.newWatch(c, c.KnownVersion), Servers: n.servers,
+		Log: n.log,
 	})
 	n.front = transport.NewFront(listener, c.Names, n.router, clientBounds(c), n.log)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	n.run(func() error { return n.router.Run(ctx) })
 	n.run(n.front.Serve)
+	operators.node.Store(n)
 	n.log.Info("started", "name", c.Name, "listen", listener.Addr().String(), "peers", len(c.Known.Entries),
-		"version", c.KnownVersion)
+		"version", c.KnownVersion,
+		"cores", c.Cores, "memory_mb", c.MemoryMB, "sockets", c.Sockets, "admin", c.Admin)
 	return n, nil
 }
 
@@ -98,6 +113,13 @@
 	n.stop()
 	n.running.Wait()
 	n.carrier.Close()
+	n.closeDoor()
+}
+
+func (n *Node) closeDoor() {
+	if n.door != nil {
+		n.door.Close()
+	}
 }
 
 // Abort ends everything at once, and no open call gets an answer. It waits for
@@ -106,6 +128,7 @@
 	n.front.Abort()
 	n.stop()
 	n.carrier.Close()
+	n.closeDoor()
 }
 
 // Reload takes changed configuration, which has passed Config.Reload. Calls in
--- /dev/null
+++ b/internal/node/operate.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+
+	"olivebridge/internal/admin"
+)
+
+// desk carries the operators' calls out. The door opens before the node is
+// there, so that it can say that it is not.
+type desk struct{ node atomic.Pointer[Node] }
+
+// Do implements admin.Desk.
+func (d *desk) Do(c admin.Call) (string, error) {
+	n := d.node.Load()
+	if n == nil {
+		return "", errors.New("the node is starting")
+	}
+	return n.do(c)
+}
+
+func (n *Node) do(c admin.Call) (string, error) {
+	switch c.Word {
+	case admin.Status:
+		return n.status()
+	case admin.Suspend:
+		if err := n.router.Suspend(c.ID); err != nil {
+			return "", err
+		}
+		return fmt.Sprintf("nothing new goes to %s", c.ID), nil
+	case admin.Restore:
+		if err := n.router.Restore(c.ID); err != nil {
+			return "", err
+		}
+		return fmt.Sprintf("%s is in use again as lists and its health let it", c.ID), nil
+	case admin.Pause:
+		n.front.Pause()
+		return "the node empties itself", nil
+	case admin.Resume:
+		n.front.Resume()
+		return "the node is back to work", nil
+	}
+	return "", fmt.Errorf("unknown call %q", c.Word)
+}
+
+// status waits for nothing. A paused node takes whoever still comes.
+func (n *Node) status() (string, error) {
+	switch {
+	case n.front.Leaving():
+		return "", errors.New("the node is ending")
+	case !n.router.Ready():
+		return "", errors.New("the upstream group is not known yet")
+	case n.front.Paused():
+		return fmt.Sprintf("paused; suspended: %v", n.servers.Suspended()), nil
+	}
+	return fmt.Sprintf("serving; suspended: %v", n.servers.Suspended()), nil
+}
+
+// openDoor listens where operators call.
+func (n *Node) openDoor(addr string, listen func(string) (net.Listener, error), d admin.Desk) error {
+	l, err := listen(addr)
+	if err != nil {
+		return fmt.Errorf("listening for operators: %w", err)
+	}
+	n.door = admin.Open(l, d, n.log)
+	return nil
+}
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -20,11 +20,13 @@
 	EnvListen    = "ROUTER_LISTEN"
 	EnvDiscovery = "ROUTER_DISCOVERY"
 	EnvConfig    = "ROUTER_CONFIG"
+	EnvAdmin     = "ROUTER_ADMIN" // may be missing: no operators' door
 )
 
 // Config is what one node is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Admin                   string // the operators' address; "": none
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
@@ -36,7 +38,7 @@
 	Known                   routing.Group
 	KnownVersion            int64
 
-	fileName, fileListen string // as the file has them
+	fileName, fileListen, fileAdmin string // as the file has them
 }
 
 type named struct {
@@ -47,6 +49,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Admin     string `json:"admin"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -96,6 +99,15 @@
 	if err := c.parse(data); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
+	if a := getenv(EnvAdmin); a != "" {
+		c.Admin = a
+	}
+	if c.Admin == "" {
+		return c, nil
+	}
+	if _, _, err := net.SplitHostPort(c.Admin); err != nil {
+		return nil, fmt.Errorf("admin, or variable %s: %w", EnvAdmin, err)
+	}
 	return c, nil
 }
 
@@ -110,7 +122,7 @@
 		name string
 		same bool
 	}{
-		{"name", n.fileName == c.fileName}, {"listen", n.fileListen == c.fileListen},
+		{"name", n.fileName == c.fileName}, {"listen", n.fileListen == c.fileListen}, {"admin", n.fileAdmin == c.fileAdmin},
 		// calls in hand carry places in these lists
 		{"a name in settings.classes", maps.Equal(n.Names.Classes, c.Names.Classes)},
 		{"a name in settings.tenants", maps.Equal(n.Names.Callers, c.Names.Callers)},
@@ -129,7 +141,7 @@
 	if err := json.Unmarshal(data, &in); err != nil {
 		return err
 	}
-	c.fileName, c.fileListen = in.Name, in.Listen
+	c.fileName, c.fileListen, c.fileAdmin, c.Admin = in.Name, in.Listen, in.Admin, in.Admin
 	if in.Discovery != "" { // the file may be newer than the environment, which cannot change
 		c.Discovery = in.Discovery
 	}
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"olivebridge/brain"
+	"olivebridge/internal/maintenance"
 )
 
 // Entry is one peer as the upstream group lists it.
@@ -29,6 +30,7 @@
 	ID         brain.ServerID
 	Name, Addr string
 	leaving    *atomic.Pointer[time.Time] // when it was told to leave; nil: it stays
+	ban        *maintenance.Ban           // operators keep it out of use; nil: they cannot
 }
 
 // NewPeer makes a peer that stays.
@@ -38,8 +40,12 @@
 
 // OpenFor reports whether the first byte of a new try may still leave at now.
 // It guards the drain rule against tries that waited for a connection while the
-// list changed; half of the grace is left as a margin for the way there.
+// list changed; half of the grace is left as a margin for the way there. What
+// operators keep out of use has no grace.
 func (p *Peer) OpenFor(now time.Time, grace time.Duration) bool {
+	if p.ban.Holds() {
+		return false
+	}
 	told := p.leaving.Load()
 	return told == nil || now.Sub(*told) <= grace/2
 }
@@ -71,7 +77,7 @@
 
 // learn takes over addresses and leaving marks, then tells the Balancer.
 func (r *Router) learn(g Group) {
-	servers := make([]brain.Server, 0, len(g.Entries))
+	servers := r.shown(g)
 	named := map[brain.ServerID]bool{}
 	for _, e := range g.Entries {
 		named[e.ID] = true
@@ -79,12 +85,12 @@
 		switch {
 		case p == nil:
 			p = NewPeer(e.ID, e.Name, e.Addr)
+			p.ban = r.servers.BanOf(e.Name)
 		case p.Addr != e.Addr && e.Addr != "":
-			p = &Peer{ID: e.ID, Name: e.Name, Addr: e.Addr, leaving: p.leaving}
+			p = &Peer{ID: e.ID, Name: e.Name, Addr: e.Addr, leaving: p.leaving, ban: p.ban}
 		}
 		r.peers[e.ID] = p
 		p.Mark(e.State == brain.Ready || e.State == brain.Gone && r.set.DroppedStay, g.At)
-		servers = append(servers, e.Server)
 	}
 	if g.Kind != brain.Delta {
 		for id, p := range r.peers {
--- /dev/null
+++ b/internal/routing/maintain.go
@@ -0,0 +1,52 @@
+package routing
+
+import (
+	"olivebridge/brain"
+	"olivebridge/internal/maintenance"
+)
+
+// shown is a list as the Balancer is to see it: operators may keep servers of it out of use.
+func (r *Router) shown(g Group) []brain.Server {
+	if r.servers == nil {
+		servers := make([]brain.Server, 0, len(g.Entries))
+		for _, e := range g.Entries {
+			servers = append(servers, e.Server)
+		}
+		return servers
+	}
+	named := make([]maintenance.Named, 0, len(g.Entries))
+	for _, e := range g.Entries {
+		named = append(named, maintenance.Named{Server: e.Server, Name: e.Name})
+	}
+	return r.servers.Learn(g.Kind, named)
+}
+
+// maintainEvent tells the Balancer how a server stands now. Events that overtake
+// each other do no harm: each brings what holds when it is handled.
+type maintainEvent struct{ name string }
+
+func (e maintainEvent) handle(r *Router) {
+	if s, ok := r.servers.Shown(e.name); ok {
+		r.brain.List(r.now(), brain.Delta, []brain.Server{s})
+	}
+}
+
+// Suspend keeps a server out of use. No first byte of anything new leaves for it
+// once this has returned; the Balancer hears of it a little later, so that no
+// caller waits behind a full queue.
+func (r *Router) Suspend(name string) error {
+	if err := r.servers.Suspend(name, r.now()); err != nil {
+		return err
+	}
+	go r.post(maintainEvent{name})
+	return nil
+}
+
+// Restore puts a server back.
+func (r *Router) Restore(name string) error {
+	if err := r.servers.Restore(name, r.now()); err != nil {
+		return err
+	}
+	go r.post(maintainEvent{name})
+	return nil
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"olivebridge/brain"
+	"olivebridge/internal/maintenance"
 )
 
 // queueLength is how many events may wait for the decision goroutine. It is
@@ -23,7 +24,8 @@
 	Known    Group // the list as this node had it last; maybe old
 	Carrier  Carrier
 	Watcher  Watcher
-	Log      *slog.Logger // must not block
+	Servers  *maintenance.Register // what operators keep out of use; nil: nothing
+	Log      *slog.Logger          // must not block
 }
 
 // event is something the decision goroutine has to take in.
@@ -36,6 +38,7 @@
 	known   Group
 	carrier Carrier
 	watcher Watcher
+	servers *maintenance.Register
 	log     *slog.Logger
 	count   *Counters
 	start   time.Time
@@ -61,7 +64,8 @@
 func New(c Config) *Router {
 	r := &Router{
 		set: c.Settings, seed: c.Seed, known: c.Known, carrier: c.Carrier, watcher: c.Watcher, log: c.Log,
-		count: new(Counters), start: time.Now(), events: make(chan event, queueLength),
+		servers: c.Servers,
+		count:   new(Counters), start: time.Now(), events: make(chan event, queueLength),
 		stopped: make(chan struct{}), peers: map[brain.ServerID]*Peer{}, open: map[brain.RequestID]*openCall{},
 		names: map[string]struct{}{}, timers: map[*wakeEvent]struct{}{},
 	}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -188,7 +188,7 @@
 }
 
 // leave closes every connection that carries nothing. Later ones end with
-// their answer.
+// their answer, until stay.
 func (c *clients) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -196,6 +196,13 @@
 	c.endIdle()
 }
 
+// stay lets connections be kept again.
+func (c *clients) stay() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = false
+}
+
 // drain goes on with that until none is open or ctx ends, and returns how many are.
 func (c *clients) drain(ctx context.Context) int {
 	defer context.AfterFunc(ctx, func() {
@@ -293,7 +300,9 @@
 	k.active, k.whole, k.next = k.next, false, false
 	if !k.active && c.open[k] {
 		k.moveTo(&c.idle)
-		if c.idle.Len() > c.maxIdle {
+		if c.leaving {
+			c.end("drain", k)
+		} else if c.idle.Len() > c.maxIdle {
 			if first := c.longestIdle(); first != nil {
 				c.end("evicted", first)
 			}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -53,7 +53,7 @@
 	log     *slog.Logger
 	server  *http.Server
 	clients *clients
-	leaving atomic.Bool
+	leaving leaving
 	life    context.Context // ends with Abort
 	end     context.CancelFunc
 	badly   atomic.Int64 // requests answered with a plain 4xx
@@ -87,7 +87,7 @@
 // Serve serves until Drain or Abort.
 func (f *Front) Serve() error {
 	err := f.server.Serve(f.clients)
-	if f.leaving.Load() || errors.Is(err, http.ErrServerClosed) {
+	if f.leaving.ending() || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return fmt.Errorf("front: %w", err)
@@ -115,7 +115,7 @@
 // so it goes on accepting; then it closes client connections as they fall idle,
 // stops accepting, and waits for what is open. Abort cuts it short.
 func (f *Front) Drain(longest time.Duration) {
-	f.leaving.Store(true)
+	f.leaving.end()
 	ctx, stop := context.WithTimeout(f.life, longest+drainSpare)
 	defer stop()
 	pause(ctx, drainKeep)
@@ -138,7 +138,7 @@
 // Abort ends the front and all its client connections at once. Nothing further
 // is read, and what is open gets no answer.
 func (f *Front) Abort() {
-	f.leaving.Store(true)
+	f.leaving.end()
 	f.clients.abort()
 	f.server.Close()
 	f.end()
@@ -192,7 +192,8 @@
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead: // guards a call's client: a 200 were its answer
 		f.refuse(w, http.StatusMethodNotAllowed, &protocol.MethodError{Method: r.Method, Allow: http.MethodGet})
-	case f.leaving.Load() || !f.taker.Ready():
+	case f.leaving.now() || !f.taker.Ready():
+		f.mayEnd(w)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -261,15 +262,20 @@
 	return m, nil
 }
 
+// mayEnd ends the connection with the answer at hand while the node empties itself.
+func (f *Front) mayEnd(w http.ResponseWriter) {
+	if f.clients.leaves() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // answer writes the one final answer.
 func (f *Front) answer(w http.ResponseWriter, a routing.Answer) {
 	h := w.Header()
 	if a.Verdict == routing.Served {
 		a.Reply.(*reply).putInto(h)
 	}
-	if f.clients.leaves() {
-		h.Set("Connection", "close")
-	}
+	f.mayEnd(w)
 	switch a.Verdict {
 	case routing.Served:
 		p := a.Reply.(*reply)
--- /dev/null
+++ b/internal/transport/leaving.go
@@ -0,0 +1,87 @@
+package transport
+
+import (
+	"sync"
+	"time"
+)
+
+// leaving is whether a front sends its clients away: for good at its planned
+// end, or for a while as operators ask. It is the one owner of that.
+type leaving struct {
+	mu     sync.Mutex
+	over   bool        // the front ends
+	paused bool        // operators empty the node
+	empty  *time.Timer // when a pause comes to the open connections; nil: none is due
+}
+
+// now reports whether the front sends clients away.
+func (l *leaving) now() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.over || l.paused
+}
+
+// ending reports whether it does so for good.
+func (l *leaving) ending() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.over
+}
+
+// end begins the end. A pause due is left: the end closes connections by itself.
+func (l *leaving) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.over = true
+	l.stop()
+}
+
+func (l *leaving) stop() {
+	if l.empty != nil {
+		l.empty.Stop()
+		l.empty = nil
+	}
+}
+
+// Pause empties the front: it is not ready from now on, and closes connections
+// that carry nothing, or with their next answer, once new ones have ceased.
+// What comes nevertheless is served. Said again it changes nothing.
+func (f *Front) Pause() {
+	l := &f.leaving
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.paused || l.over {
+		l.paused = true
+		return
+	}
+	l.paused = true
+	l.empty = time.AfterFunc(drainKeep, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.empty != nil { // else a Resume was first
+			f.clients.leave()
+		}
+	})
+}
+
+// Resume ends a pause. A front that ends goes on with that.
+func (f *Front) Resume() {
+	l := &f.leaving
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = false
+	l.stop()
+	if !l.over {
+		f.clients.stay()
+	}
+}
+
+// Paused reports whether operators have the front emptied.
+func (f *Front) Paused() bool {
+	f.leaving.mu.Lock()
+	defer f.leaving.mu.Unlock()
+	return f.leaving.paused
+}
+
+// Leaving reports whether the front ends.
+func (f *Front) Leaving() bool { return f.leaving.ending() }
