Hand the node over to a successor: listener, state and idle connections by descriptor

A process with a door sits at a Unix socket in $TMPDIR. Its successor connects there, gets the servers ever listed with their bans and starts, the list's version, the pause, and the listening socket itself; it serves, says so, and takes the seat. At SIGTERM the old process then stops accepting, gives idle client connections away by descriptor, and ends the others with their answer. Calls at either door are done in both. Each keeps to its part of the limits. Not taken: two listeners by SO_REUSEPORT. What stands in the old one's accept queue when it closes is reset; a shared queue has nothing to fall between. SO_REUSEPORT stays set, for when no old process answers.

Cause: the second process exited with 1, since the address was in use (node.Start, net.Listen), and at SIGTERM the old one said 503 to /health/ready and closed idle connections under requests on their way. Ruled out: that the platform refuses Unix sockets (the logs show the successor joining at each upgrade).

--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -2,10 +2,15 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"net"
+	"net/url"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -28,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	setLimits(c)
+	setLimits(c, 1)
 	signal.Ignore(syscall.SIGPIPE) // or a log reader that goes away would take the node with it
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
@@ -37,7 +42,7 @@
 	out := newLogWriter(os.Stderr)
 	defer out.Close()
 	log := slog.New(slog.NewTextHandler(out, nil))
-	n, err := node.Start(c, node.Parts{Log: log})
+	n, err := node.Start(c, node.Parts{Log: log, Listen: listener(c), Seat: seat(c), Limit: setLimits})
 	if err != nil {
 		return err
 	}
@@ -83,14 +88,47 @@
 		return old
 	}
 	n.Reload(c)
-	setLimits(c)
 	return c
 }
 
-// setLimits keeps the node within its machine. Memory gets a margin for what
-// the Go runtime does not count.
-func setLimits(c *protocol.Config) {
+// seat is where two processes of one node find each other during an upgrade. The
+// directory is the node's own, and both have the same.
+func seat(c *protocol.Config) string {
+	if c.Admin == "" {
+		return ""
+	}
+	return filepath.Join(os.TempDir(), "olivebridge-"+url.PathEscape(c.Name)+".sock")
+}
+
+// listener listens where clients connect, or operators. With a door a process
+// may start beside the one in service, and the address is shared, in case that
+// one does not hand its own over.
+func listener(c *protocol.Config) func(string) (net.Listener, error) {
+	if c.Admin == "" {
+		return nil
+	}
+	shared := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var set error
+		err := raw.Control(func(fd uintptr) {
+			set = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, reusePort, 1)
+		})
+		return errors.Join(err, set)
+	}}
+	return func(addr string) (net.Listener, error) {
+		if addr == c.Admin { // whose process it is must be clear
+			return net.Listen("tcp", addr)
+		}
+		return shared.Listen(context.Background(), "tcp", addr)
+	}
+}
+
+// reusePort is SO_REUSEPORT, which package syscall lacks on this platform.
+const reusePort = 15
+
+// setLimits keeps the process to its part of the node's machine. Memory gets a
+// margin for what the Go runtime does not count.
+func setLimits(c *protocol.Config, part float64) {
 	runtime.GOMAXPROCS(max(int(c.Cores), 1))
-	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 7 / 10)
+	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * part * 0.7))
 	debug.SetGCPercent(400)
 }
--- /dev/null
+++ b/cmd/olivebridge/upgrade_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"olivebridge/internal/handover"
+)
+
+// successor starts the program once more beside a process, with a door of its own.
+func (n *process) successor(t *testing.T) (next *process, door string) {
+	t.Helper()
+	door = freeAddr(t)
+	next = &process{known: n.known, config: n.config, env: append(n.env[:len(n.env):len(n.env)], "ROUTER_ADMIN="+door)}
+	next.launch(t)
+	for !strings.HasPrefix(call(t, door, "STATUS"), "SUCCESS") {
+		time.Sleep(time.Millisecond)
+	}
+	return next, door
+}
+
+// end has a process end as planned, and waits for that.
+func (n *process) end(t *testing.T) {
+	t.Helper()
+	n.cmd.Process.Signal(syscall.SIGTERM)
+	n.until(t, "when=exit")
+	for range n.lines {
+	}
+	if err := n.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
+// book sends a call with an effect, on a kept connection or a new one.
+func book(client *http.Client, addr string) (status int, err error) {
+	req, err := http.NewRequest("POST", "http://"+addr+"/api", io.NopCloser(strings.NewReader("paid"))) // never sent again
+	if err != nil {
+		return 0, err
+	}
+	req.ContentLength = 4
+	req.Header = http.Header{"X-Call-Id": {fmt.Sprint("u", ids.Add(1))}, "X-Call-Class": {"book"}, "X-Caller": {"acme"}, "X-Budget": {"1.5"}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// TestUpgrade: while clients go on, one process follows another, and one dies
+// half way. No connection is refused, reset or left unread, nothing runs twice,
+// and a suspension holds throughout.
+func TestUpgrade(t *testing.T) {
+	t.Setenv("ROUTER_ADMIN", freeAddr(t))
+	var ran, held atomic.Int64
+	n := start(t, unchanged, func(http.ResponseWriter, *http.Request) { ran.Add(1) },
+		func(http.ResponseWriter, *http.Request) { held.Add(1) })
+	addr := n.addr
+	n.env[1] = "ROUTER_LISTEN=" + addr
+	next, door := n.successor(t)
+	n.end(t) // the first has another address in its environment
+	n = next
+	must(t, door, "SUSPEND s-1")
+	before := held.Load()
+	var served atomic.Int64
+	stop := make(chan bool)
+	var clients sync.WaitGroup
+	for i := range 8 {
+		clients.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0}}
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				switch status, err := book(client, addr); {
+				case err != nil:
+					t.Errorf("a call ended with %v", err)
+					return
+				case status == 200:
+					served.Add(1)
+				default:
+					t.Errorf("status %d", status)
+				}
+			}
+		})
+	}
+	idle, err := net.Dial("tcp", addr) // kept throughout, and used at the end
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	for round := range 4 {
+		if round == 1 { // one that dies half way leaves the node to its elder
+			link, h, l, err := handover.Join(filepath.Join(n.env[4][len("TMPDIR="):], "olivebridge-n0.sock"))
+			if err != nil || len(h.Servers) != 2 {
+				t.Fatalf("%+v, %v", h, err)
+			}
+			l.Close()
+			link.Close()
+			n.until(t, "other process has ended")
+		}
+		for some := served.Load() + 200; served.Load() < some; {
+			time.Sleep(time.Millisecond)
+		}
+		next, door = n.successor(t)
+		if got := call(t, door, "STATUS"); !strings.Contains(got, "[s-1]") {
+			t.Errorf("round %d: %q", round, got)
+		}
+		n.end(t)
+		n = next
+	}
+	close(stop)
+	clients.Wait()
+	fmt.Fprint(idle, "GET /health/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	if got, err := io.ReadAll(idle); err != nil || !bytes.HasPrefix(got, []byte("HTTP/1.1 200")) {
+		t.Errorf("the connection that was idle throughout: %q, %v", got, err)
+	}
+	if ran.Load() == 0 || held.Load() != before || served.Load() < ran.Load()-before-1 {
+		t.Errorf("%d ran, %d at the suspended peer, %d served", ran.Load(), held.Load()-before, served.Load())
+	}
+	must(t, door, "RESTORE s-1")
+}
--- /dev/null
+++ b/internal/handover/link.go
@@ -0,0 +1,227 @@
+package handover
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// joinTimeout is how long the process in service may take for its heritage. It answers from memory.
+	joinTimeout = 2 * time.Second
+	// sendTimeout is how long a message may wait for the other process to read.
+	sendTimeout = 500 * time.Millisecond
+	// callTimeout is how long an operator's call waits for the other process: answers are owed in 1 s.
+	callTimeout = 400 * time.Millisecond
+	// maxPath is the longest path of a Unix socket.
+	maxPath = 107
+)
+
+// Link is the socket between the two processes. Messages keep their order.
+type Link struct {
+	conn *net.UnixConn
+
+	sending sync.Mutex
+
+	mu    sync.Mutex
+	calls map[uint64]chan string // that wait for Done
+	last  uint64
+}
+
+func newLink(conn *net.UnixConn) *Link { return &Link{conn: conn, calls: map[uint64]chan string{}} }
+
+// address makes a path fit into a socket's address; close what it returns after use.
+func address(path string) (*net.UnixAddr, func(), error) {
+	done := func() {}
+	if len(path) > maxPath {
+		dir, err := os.Open(filepath.Dir(path))
+		if err != nil {
+			return nil, done, fmt.Errorf("hand-over: %w", err)
+		}
+		done = func() { dir.Close() }
+		path = fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path))
+	}
+	return &net.UnixAddr{Net: "unixpacket", Name: path}, done, nil
+}
+
+// Join asks the process in service for the node. A nil link without an error:
+// there is none.
+func Join(path string) (*Link, Heritage, net.Listener, error) {
+	addr, done, err := address(path)
+	if err != nil {
+		return nil, Heritage{}, nil, err
+	}
+	defer done()
+	conn, err := net.DialUnix("unixpacket", nil, addr)
+	switch {
+	case errors.Is(err, syscall.ENOENT), errors.Is(err, syscall.ECONNREFUSED): // what a dead process left
+		return nil, Heritage{}, nil, nil
+	case err != nil:
+		return nil, Heritage{}, nil, fmt.Errorf("hand-over: %w", err)
+	}
+	l := newLink(conn)
+	h, listener, err := l.inherit()
+	if err != nil {
+		l.Close()
+		return nil, Heritage{}, nil, err
+	}
+	return l, h, listener, nil
+}
+
+func (l *Link) inherit() (h Heritage, listener net.Listener, err error) {
+	l.conn.SetReadDeadline(time.Now().Add(joinTimeout))
+	defer l.conn.SetReadDeadline(time.Time{})
+	for last := false; !last; {
+		m, file, err := l.Receive()
+		if err != nil {
+			return h, nil, err
+		}
+		if last, err = h.take(m); err != nil || last && file == nil {
+			if file != nil {
+				file.Close()
+			}
+			return h, nil, errors.Join(err, errors.New("hand-over: no listener came"))
+		}
+		if file != nil {
+			defer file.Close()
+			if listener, err = net.FileListener(file); err != nil {
+				return h, nil, fmt.Errorf("hand-over: %w", err)
+			}
+		}
+	}
+	return h, listener, nil
+}
+
+// Close ends the link; Receive ends with an error at both sides.
+func (l *Link) Close() { l.conn.Close() }
+
+// Send sends a message, and with it a descriptor unless that is nil. The sender keeps its own.
+func (l *Link) Send(m Message, with syscall.Conn) error {
+	data, err := encode(m)
+	if err != nil {
+		return err
+	}
+	l.sending.Lock()
+	defer l.sending.Unlock()
+	l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+	if with == nil {
+		_, err = l.conn.Write(data)
+		return err
+	}
+	raw, err := with.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sent error
+	// File would turn the descriptor blocking, for both processes; within Control it stays open.
+	err = raw.Control(func(fd uintptr) { _, _, sent = l.conn.WriteMsgUnix(data, syscall.UnixRights(int(fd)), nil) })
+	return errors.Join(err, sent)
+}
+
+// Receive waits for the next message, and the descriptor that came with it.
+func (l *Link) Receive() (m Message, file *os.File, err error) {
+	data, oob := make([]byte, maxMessage), make([]byte, syscall.CmsgSpace(4))
+	n, oobn, _, _, err := l.conn.ReadMsgUnix(data, oob)
+	if err != nil {
+		return m, nil, err
+	}
+	if file, err = descriptor(oob[:oobn]); err != nil {
+		return m, nil, err
+	}
+	if m, err = decode(data[:n]); err != nil && file != nil {
+		file.Close()
+		file = nil
+	}
+	return m, file, err
+}
+
+func descriptor(oob []byte) (*os.File, error) {
+	if len(oob) == 0 {
+		return nil, nil
+	}
+	parts, err := syscall.ParseSocketControlMessage(oob)
+	if err != nil || len(parts) != 1 {
+		return nil, fmt.Errorf("hand-over: %d control messages: %w", len(parts), err)
+	}
+	fds, err := syscall.ParseUnixRights(&parts[0])
+	if err != nil || len(fds) != 1 {
+		return nil, fmt.Errorf("hand-over: %d descriptors: %w", len(fds), err)
+	}
+	return os.NewFile(uintptr(fds[0]), "handed over"), nil
+}
+
+// Ask has the other process do what a message says, and waits until that holds there.
+func (l *Link) Ask(m Message) error {
+	done := make(chan string, 1)
+	l.mu.Lock()
+	l.last++
+	number := l.last
+	l.calls[number] = done
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.calls, number)
+	}()
+	m.Number = number
+	if err := l.Send(m, nil); err != nil {
+		return fmt.Errorf("hand-over: %w", err)
+	}
+	select {
+	case fault := <-done:
+		if fault != "" {
+			return fmt.Errorf("the node's other process: %s", fault)
+		}
+		return nil
+	case <-time.After(callTimeout):
+		return errors.New("hand-over: the node's other process does not answer")
+	}
+}
+
+// Answered takes a Done message to whoever waits for it.
+func (l *Link) Answered(m Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if done := l.calls[m.Number]; done != nil {
+		done <- m.Fault
+		delete(l.calls, m.Number)
+	}
+}
+
+// Seat is where a successor finds the process in service.
+type Seat struct{ l *net.UnixListener }
+
+// Take listens at a path, in place of whoever did before.
+func Take(path string) (*Seat, error) {
+	addr, done, err := address(path)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("hand-over: %w", err)
+	}
+	l, err := net.ListenUnix("unixpacket", addr)
+	if err != nil {
+		return nil, fmt.Errorf("hand-over: %w", err)
+	}
+	l.SetUnlinkOnClose(false) // by then the path may be the successor's
+	return &Seat{l}, nil
+}
+
+// Accept waits for a successor.
+func (s *Seat) Accept() (*Link, error) {
+	conn, err := s.l.AcceptUnix()
+	if err != nil {
+		return nil, err
+	}
+	return newLink(conn), nil
+}
+
+// Close leaves the seat.
+func (s *Seat) Close() { s.l.Close() }
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -21,7 +21,7 @@
 // Named is a server with the id that operators call it by.
 type Named struct {
 	brain.Server
-	Name string
+	Name, Addr string
 }
 
 // Register knows every server that was ever listed. It is safe for concurrent use.
@@ -29,9 +29,11 @@
 	mu      sync.Mutex
 	servers map[string]*entry
 	turn    uint64 // grows with each change of an entry
+	version int64  // of the last list
 }
 
 type entry struct {
+	addr      string
 	said      brain.Server // as the upstream group has it; Gone if it lists it no more
 	ban       *Ban
 	since     brain.Time // when it was suspended
@@ -58,9 +60,10 @@
 
 // Learn takes a list in and gives what the decisions are to be shown in its
 // place. What a whole list does not name is gone.
-func (r *Register) Learn(kind brain.ListKind, list []Named) []brain.Server {
+func (r *Register) Learn(kind brain.ListKind, version int64, list []Named) []brain.Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.version = version
 	if kind != brain.Delta {
 		named := make(map[string]bool, len(list))
 		for _, s := range list {
@@ -75,7 +78,9 @@
 	shown := make([]brain.Server, 0, len(list))
 	for _, s := range list {
 		e := r.of(s.Name)
-		e.said = s.Server
+		if e.said = s.Server; s.Addr != "" {
+			e.addr = s.Addr
+		}
 		r.touch(e)
 		shown = append(shown, e.shown())
 	}
--- /dev/null
+++ b/internal/maintenance/record.go
@@ -0,0 +1,42 @@
+package maintenance
+
+import (
+	"maps"
+	"slices"
+
+	"olivebridge/brain"
+)
+
+// Record is what a Register knows of one server, as a successor takes it over.
+type Record struct {
+	Name      string       `json:"name"`
+	Addr      string       `json:"addr"`
+	Said      brain.Server `json:"said"`
+	Held      bool         `json:"held,omitempty"`
+	Since     brain.Time   `json:"since,omitempty"`
+	NotBefore brain.Time   `json:"not_before,omitempty"`
+}
+
+// Export gives all that is known, in the order of names, and the version of the
+// list it comes from.
+func (r *Register) Export() (all []Record, version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(r.servers)) {
+		e := r.servers[name]
+		all = append(all, Record{name, e.addr, e.said, e.ban.Holds(), e.since, e.notBefore})
+	}
+	return all, r.version
+}
+
+// Import takes over what another Register knew.
+func (r *Register) Import(all []Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, in := range all {
+		e := r.of(in.Name)
+		e.addr, e.said, e.since, e.notBefore = in.Addr, in.Said, in.Since, in.NotBefore
+		e.ban.on.Store(in.Held)
+		r.touch(e)
+	}
+}
--- /dev/null
+++ b/internal/node/handover.go
@@ -0,0 +1,279 @@
+package node
+
+import (
+	"net"
+	"sync"
+	"syscall"
+
+	"olivebridge/internal/admin"
+	"olivebridge/internal/handover"
+	"olivebridge/internal/routing"
+)
+
+// company are the other processes of this node: the one before it, and its
+// successor, each for as long as it lives.
+type company struct {
+	mu        sync.Mutex
+	seat      *handover.Seat // where a successor finds this process; nil: it has one, or can have none
+	before    *handover.Link // nil: none
+	successor *handover.Link // nil: none
+	over      bool           // this process ends
+	took      bool           // the successor takes clients
+	calls     sync.Mutex     // one operator's call at a time, so that both processes see them in one order
+	running   sync.WaitGroup
+}
+
+// processes counts this one, too.
+func (c *company) processes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 1
+	for _, l := range []*handover.Link{c.before, c.successor} {
+		if l != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// inherit takes over from the process in service, if there is one. Whatever
+// fails there is logged, and the node starts as if it were alone.
+func (n *Node) inherit() (listener net.Listener) {
+	if n.parts.Seat == "" || n.servers == nil {
+		return nil
+	}
+	link, h, listener, err := handover.Join(n.parts.Seat)
+	if err != nil {
+		n.log.Warn("hand-over failed", "reason", err.Error())
+	}
+	if link == nil {
+		return nil
+	}
+	n.company.before = link
+	n.servers.Import(h.Servers)
+	known := routing.Group{}
+	for _, r := range h.Servers {
+		known.Entries = append(known.Entries, routing.Entry{Server: r.Said, Name: r.Name, Addr: r.Addr})
+	}
+	if len(known.Entries) > 0 {
+		n.config.Known, n.config.KnownVersion = known, -1
+		if h.Source == n.config.Discovery {
+			n.config.KnownVersion = h.Version
+		}
+	}
+	n.heirPaused = h.Paused
+	n.log.Info("taking over", "servers", len(h.Servers), "version", n.config.KnownVersion, "paused", h.Paused)
+	return listener
+}
+
+// settle tells the process before this one that clients are served here, and
+// makes this one the one that a successor asks.
+func (n *Node) settle() {
+	if n.parts.Seat == "" || n.servers == nil {
+		return
+	}
+	c := &n.company
+	if l := c.before; l != nil {
+		c.running.Go(func() { n.converse(l) })
+		if err := l.Ask(handover.Message{Kind: handover.Ready}); err != nil {
+			n.log.Warn("hand-over failed", "reason", err.Error())
+		}
+	}
+	n.sit()
+}
+
+// sit waits for a successor.
+func (n *Node) sit() {
+	seat, err := handover.Take(n.parts.Seat)
+	if err != nil {
+		n.log.Warn("no hand-over to a successor", "reason", err.Error())
+		return
+	}
+	c := &n.company
+	c.mu.Lock()
+	c.seat = seat
+	c.mu.Unlock()
+	c.running.Go(func() {
+		for {
+			l, err := seat.Accept()
+			if err != nil {
+				return
+			}
+			if err := n.bequeath(l); err != nil {
+				n.log.Warn("hand-over failed", "reason", err.Error())
+				l.Close()
+				continue
+			}
+			n.converse(l)
+		}
+	})
+}
+
+// bequeath tells a successor all that this process knows. Calls that come
+// meanwhile follow on the link.
+func (n *Node) bequeath(l *handover.Link) error {
+	c := &n.company
+	c.calls.Lock()
+	defer c.calls.Unlock()
+	var h handover.Heritage
+	h.Servers, h.Version = n.servers.Export()
+	h.Paused = n.front.Paused()
+	n.mu.Lock()
+	h.Source = n.config.Discovery
+	n.mu.Unlock()
+	for _, m := range h.Messages() {
+		var with syscall.Conn
+		if m.Kind == handover.Serve {
+			with, _ = n.listener.(syscall.Conn)
+		}
+		if err := l.Send(m, with); err != nil {
+			return err
+		}
+	}
+	c.mu.Lock()
+	c.successor, c.took = l, false
+	c.mu.Unlock()
+	n.log.Info("successor", "servers", len(h.Servers))
+	n.bound()
+	return nil
+}
+
+// converse takes what another process says until it has ended.
+func (n *Node) converse(l *handover.Link) {
+	for {
+		m, file, err := l.Receive()
+		if err != nil {
+			break
+		}
+		switch m.Kind {
+		case handover.Ready:
+			n.company.mu.Lock()
+			n.company.took = l == n.company.successor
+			n.company.mu.Unlock()
+			n.log.Info("successor takes clients")
+			l.Send(handover.Message{Kind: handover.Done, Number: m.Number}, nil)
+		case handover.Asked:
+			_, err := n.apply(admin.Call{Word: m.Word, ID: m.ID}, l)
+			done := handover.Message{Kind: handover.Done, Number: m.Number}
+			if err != nil {
+				done.Fault = err.Error()
+			}
+			l.Send(done, nil) // if it fails, so does the next Receive
+		case handover.Done:
+			l.Answered(m)
+		case handover.Conn:
+			if file != nil {
+				if conn, err := net.FileConn(file); err == nil {
+					n.front.Adopt(conn)
+				}
+			}
+		}
+		if file != nil {
+			file.Close()
+		}
+	}
+	n.parted(l)
+}
+
+// parted notes that another process of the node has ended.
+func (n *Node) parted(l *handover.Link) {
+	l.Close()
+	c := &n.company
+	c.mu.Lock()
+	again := l == c.successor && c.took && !c.over // it had taken the seat
+	if l == c.successor {
+		c.successor, c.took = nil, false
+	} else {
+		c.before = nil
+	}
+	c.mu.Unlock()
+	n.log.Info("the node's other process has ended")
+	n.bound()
+	if again {
+		c.closeSeat()
+		n.sit()
+	}
+}
+
+func (c *company) closeSeat() {
+	c.mu.Lock()
+	seat := c.seat
+	c.seat = nil
+	c.mu.Unlock()
+	if seat != nil {
+		seat.Close()
+	}
+}
+
+// end leaves the others.
+func (c *company) end() {
+	c.mu.Lock()
+	c.over = true
+	links := []*handover.Link{c.before, c.successor}
+	c.mu.Unlock()
+	c.closeSeat()
+	for _, l := range links {
+		if l != nil {
+			l.Close()
+		}
+	}
+	c.running.Wait()
+}
+
+// heir is the successor that takes clients; nil: there is none.
+func (c *company) heir() *handover.Link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.took {
+		return nil
+	}
+	return c.successor
+}
+
+// both does an operator's call here and in the node's other processes.
+func (n *Node) both(call admin.Call) (string, error) {
+	n.company.calls.Lock()
+	defer n.company.calls.Unlock()
+	return n.apply(call, nil)
+}
+
+// apply does a call here, then in the processes but for the one it came from.
+// Where another does not answer the call holds here, and the caller is told.
+func (n *Node) apply(call admin.Call, from *handover.Link) (string, error) {
+	text, err := n.do(call)
+	if err != nil {
+		return "", err
+	}
+	c := &n.company
+	c.mu.Lock()
+	links := []*handover.Link{c.before, c.successor}
+	c.mu.Unlock()
+	for _, l := range links {
+		if l == nil || l == from {
+			continue
+		}
+		if err := l.Ask(handover.Message{Kind: handover.Asked, Word: call.Word, ID: call.ID}); err != nil {
+			n.log.Warn("operator call", "call", call.Word, "server", call.ID, "reason", err.Error())
+		}
+	}
+	return text, nil
+}
+
+// bound keeps this process to its part of the node's limits.
+func (n *Node) bound() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	part := handover.Part(n.company.processes())
+	n.carrier.Configure(n.carrierConfig(n.config, part))
+	n.front.Bound(clientBounds(n.config, part))
+	if n.parts.Limit != nil {
+		n.parts.Limit(n.config, part)
+	}
+}
+
+// give hands a client connection on.
+func give(l *handover.Link) func(syscall.Conn) error {
+	return func(conn syscall.Conn) error {
+		return l.Send(handover.Message{Kind: handover.Conn}, conn)
+	}
+}
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -8,13 +8,16 @@
 // spareDescriptors are kept for discovery, the log and the runtime.
 const spareDescriptors = 64
 
-// descriptors is how many each side may hold, clients and peers.
-func descriptors(c *protocol.Config) int { return max((c.Sockets-spareDescriptors)/2, 8) }
+// descriptors is how many each side may hold, clients and peers, of this
+// process's part of the node.
+func descriptors(c *protocol.Config, part float64) int {
+	return max(int(float64(c.Sockets-spareDescriptors)*part/2), 8)
+}
 
 // clientBounds keeps idle client connections well under the third of the
 // descriptors that clients may hold.
-func clientBounds(c *protocol.Config) transport.ClientBounds {
-	return transport.ClientBounds{Open: descriptors(c), Idle: c.Sockets / 4}
+func clientBounds(c *protocol.Config, part float64) transport.ClientBounds {
+	return transport.ClientBounds{Open: descriptors(c, part), Idle: int(float64(c.Sockets) * part / 4)}
 }
 
 // answerPart is the part of the memory that one answer may take. Peers have been
@@ -22,8 +25,8 @@
 // sends their calls to one peer after the other.
 const answerPart = 64
 
-func (n *Node) carrierConfig(c *protocol.Config) transport.CarrierConfig {
+func (n *Node) carrierConfig(c *protocol.Config, part float64) transport.CarrierConfig {
 	return transport.CarrierConfig{ConnectTimeout: c.ConnectTimeout, IdleClose: c.IdleClose,
-		DrainGrace: c.Settings.DrainGrace, MaxConns: descriptors(c), MaxAnswer: c.MemoryMB << 20 / answerPart,
+		DrainGrace: c.Settings.DrainGrace, MaxConns: descriptors(c, part), MaxAnswer: c.MemoryMB << 20 / answerPart,
 		Dial: n.parts.Dial, Log: n.log}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"sync"
 
 	"olivebridge/internal/admin"
+	"olivebridge/internal/handover"
 	"olivebridge/internal/maintenance"
 	"olivebridge/internal/protocol"
 	"olivebridge/internal/routing"
@@ -26,20 +27,25 @@
 	Wrap   func(routing.Carrier) routing.Carrier                    // around the node's own; nil: nothing
 	Follow func(routing.Watcher) routing.Watcher                    // around each watch; nil: nothing
 	Log    *slog.Logger                                             // must not block; nil: none
+	Seat   string                                                   // path at which processes of this node find each other; "": they do not
+	Limit  func(c *protocol.Config, part float64)                   // keeps the process to its part; nil: nothing to keep
 }
 
 // Node is a running instance.
 type Node struct {
-	parts   Parts
-	log     *slog.Logger
-	carrier *transport.Carrier
-	router  *routing.Router
-	front   *transport.Front
-	servers *maintenance.Register // nil without a door
-	door    *admin.Door           // nil: none
-	stop    context.CancelFunc    // ends the decisions and all that they started
-	running sync.WaitGroup        // front and decisions
-	failed  chan error
+	parts      Parts
+	log        *slog.Logger
+	carrier    *transport.Carrier
+	router     *routing.Router
+	front      *transport.Front
+	servers    *maintenance.Register // nil without a door
+	door       *admin.Door           // nil: none
+	listener   net.Listener          // of clients
+	company    company
+	heirPaused bool               // the process before this one was
+	stop       context.CancelFunc // ends the decisions and all that they started
+	running    sync.WaitGroup     // front and decisions
+	failed     chan error
 
 	mu     sync.Mutex
 	config *protocol.Config
@@ -63,12 +69,21 @@
 			return nil, err
 		}
 	}
-	listener, err := listen(c.Listen)
-	if err != nil {
-		n.closeDoor()
-		return nil, fmt.Errorf("listening: %w", err)
+	listener := n.inherit()
+	if listener == nil {
+		var err error
+		if listener, err = listen(c.Listen); err != nil {
+			n.closeDoor()
+			return nil, fmt.Errorf("listening: %w", err)
+		}
+	}
+	n.listener = listener
+	part := handover.Part(n.company.processes())
+	if p.Limit != nil {
+		p.Limit(c, part)
 	}
-	n.carrier = transport.NewCarrier(n.carrierConfig(c))
+	c.Known.Version = c.KnownVersion
+	n.carrier = transport.NewCarrier(n.carrierConfig(c, part))
 	carrier := routing.Carrier(n.carrier)
 	if p.Wrap != nil {
 		carrier = p.Wrap(carrier)
@@ -78,11 +93,16 @@
 		Watcher: n.newWatch(c, c.KnownVersion), Servers: n.servers,
 		Log: n.log,
 	})
-	n.front = transport.NewFront(listener, c.Names, n.router, clientBounds(c), n.log)
+	n.front = transport.NewFront(listener, c.Names, n.router, clientBounds(c, part), n.log)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	n.run(func() error { return n.router.Run(ctx) })
+	if n.heirPaused {
+		n.front.Pause()
+	}
+	n.run(n.front.ServeAdopted)
 	n.run(n.front.Serve)
+	n.settle()
 	operators.node.Store(n)
 	n.log.Info("started", "name", c.Name, "listen", listener.Addr().String(), "peers", len(c.Known.Entries),
 		"version", c.KnownVersion,
@@ -109,10 +129,16 @@
 	n.mu.Lock()
 	longest := n.config.LongestDeadline
 	n.mu.Unlock()
-	n.front.Drain(longest)
+	if l := n.company.heir(); l != nil {
+		n.log.Info("handing over")
+		n.front.HandOver(longest, give(l))
+	} else {
+		n.front.Drain(longest)
+	}
 	n.stop()
 	n.running.Wait()
 	n.carrier.Close()
+	n.company.end()
 	n.closeDoor()
 }
 
@@ -128,6 +154,7 @@
 	n.front.Abort()
 	n.stop()
 	n.carrier.Close()
+	n.company.end()
 	n.closeDoor()
 }
 
@@ -144,9 +171,8 @@
 		n.router.Follow(n.newWatch(c, -1))
 	}
 	n.router.Set(c.Settings)
-	n.carrier.Configure(n.carrierConfig(c))
 	n.front.Learn(c.Names) // a class whose effect has changed goes by another method
-	n.front.Bound(clientBounds(c))
+	n.bound()
 	n.log.Info("reloaded", "discovery", c.Discovery)
 }
 
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -19,13 +19,14 @@
 	if n == nil {
 		return "", errors.New("the node is starting")
 	}
-	return n.do(c)
+	if c.Word == admin.Status {
+		return n.status()
+	}
+	return n.both(c)
 }
 
 func (n *Node) do(c admin.Call) (string, error) {
 	switch c.Word {
-	case admin.Status:
-		return n.status()
 	case admin.Suspend:
 		if err := n.router.Suspend(c.ID); err != nil {
 			return "", err
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -22,6 +22,7 @@
 	Kind    brain.ListKind
 	Entries []Entry
 	At      time.Time // when it arrived
+	Version int64     // as discovery numbers it
 }
 
 // Peer is a server that the upstream group has named. Its fields but the
--- a/internal/routing/maintain.go
+++ b/internal/routing/maintain.go
@@ -16,9 +16,9 @@
 	}
 	named := make([]maintenance.Named, 0, len(g.Entries))
 	for _, e := range g.Entries {
-		named = append(named, maintenance.Named{Server: e.Server, Name: e.Name})
+		named = append(named, maintenance.Named{Server: e.Server, Name: e.Name, Addr: e.Addr})
 	}
-	return r.servers.Learn(g.Kind, named)
+	return r.servers.Learn(g.Kind, g.Version, named)
 }
 
 // maintainEvent tells the Balancer how a server stands now. Events that overtake
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -4,11 +4,13 @@
 	"container/list"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -55,11 +57,12 @@
 	max     int // open
 	maxIdle int
 	open    map[*clientConn]bool
-	silent  list.List   // nothing has ever been read; the oldest first
-	idle    list.List   // the longest idle first
-	closed  bool        // the listener
-	leaving bool        // the node closes what is idle
-	aborted atomic.Bool // nothing is read or written any more; set under mu
+	silent  list.List                // nothing has ever been read; the oldest first
+	idle    list.List                // the longest idle first
+	closed  bool                     // the listener
+	leaving bool                     // the node closes what is idle
+	give    func(syscall.Conn) error // to another process of the node, instead; nil: there is none
+	aborted atomic.Bool              // nothing is read or written any more; set under mu
 }
 
 func newClients(l net.Listener, b ClientBounds, log *slog.Logger) *clients {
@@ -81,6 +84,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return c.enter(conn)
+}
+
+// enter takes a connection up.
+func (c *clients) enter(conn net.Conn) (*clientConn, error) {
 	c.makeRoom()
 	gated, err := connOf(conn)
 	if err != nil {
@@ -165,9 +173,13 @@
 		k.gone = true
 		k.moveTo(nil)
 	}
+	give := c.give
 	c.mu.Unlock()
 	defer c.mu.Lock()
 	for _, k := range some {
+		if give != nil {
+			k.handOn(give)
+		}
 		k.life.because(reason)
 		k.Close()
 	}
@@ -336,12 +348,29 @@
 
 // mayRead says whether a read may go on. The lock is held.
 func (k *clientConn) mayRead() error {
-	if k.gone {
+	switch {
+	case k.gone && k.all.give != nil:
+		return io.EOF // http.Server would answer any other error, to a client that is another process's by now
+	case k.gone:
 		return net.ErrClosed
 	}
 	return nil
 }
 
+// CloseWrite ends the sending, unless another process goes on with it.
+func (k *clientConn) CloseWrite() error {
+	if k.isGone() {
+		return net.ErrClosed
+	}
+	return k.Conn.CloseWrite()
+}
+
+func (k *clientConn) isGone() bool {
+	k.all.mu.Lock()
+	defer k.all.mu.Unlock()
+	return k.gone
+}
+
 // hasRead notes that n bytes were read. The lock is held.
 func (k *clientConn) hasRead(n int) {
 	k.begin()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -53,7 +53,9 @@
 	log     *slog.Logger
 	server  *http.Server
 	clients *clients
+	adopted *adopted
 	leaving leaving
+	served  chan struct{}   // closed when nothing is accepted any more
 	life    context.Context // ends with Abort
 	end     context.CancelFunc
 	badly   atomic.Int64 // requests answered with a plain 4xx
@@ -63,7 +65,8 @@
 
 // NewFront makes a front on l.
 func NewFront(l net.Listener, names protocol.Names, taker Taker, b ClientBounds, log *slog.Logger) *Front {
-	f := &Front{taker: taker, log: log, clients: newClients(l, b, log)}
+	f := &Front{taker: taker, log: log, clients: newClients(l, b, log), served: make(chan struct{})}
+	f.adopted = &adopted{clients: f.clients, conns: make(chan net.Conn), closed: make(chan struct{})}
 	f.Learn(names)
 	f.life, f.end = context.WithCancel(context.Background())
 	f.server = &http.Server{
@@ -86,6 +89,7 @@
 
 // Serve serves until Drain or Abort.
 func (f *Front) Serve() error {
+	defer close(f.served)
 	err := f.server.Serve(f.clients)
 	if f.leaving.ending() || errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -115,7 +119,7 @@
 // so it goes on accepting; then it closes client connections as they fall idle,
 // stops accepting, and waits for what is open. Abort cuts it short.
 func (f *Front) Drain(longest time.Duration) {
-	f.leaving.end()
+	f.leaving.end(false)
 	ctx, stop := context.WithTimeout(f.life, longest+drainSpare)
 	defer stop()
 	pause(ctx, drainKeep)
@@ -138,7 +142,7 @@
 // Abort ends the front and all its client connections at once. Nothing further
 // is read, and what is open gets no answer.
 func (f *Front) Abort() {
-	f.leaving.end()
+	f.leaving.end(false)
 	f.clients.abort()
 	f.server.Close()
 	f.end()
--- a/internal/transport/leaving.go
+++ b/internal/transport/leaving.go
@@ -10,15 +10,17 @@
 type leaving struct {
 	mu     sync.Mutex
 	over   bool        // the front ends
+	handed bool        // another process of the node takes its clients
 	paused bool        // operators empty the node
 	empty  *time.Timer // when a pause comes to the open connections; nil: none is due
 }
 
-// now reports whether the front sends clients away.
+// now reports whether the node sends clients away. It does not where another
+// process goes on with them.
 func (l *leaving) now() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.over || l.paused
+	return l.over && !l.handed || l.paused
 }
 
 // ending reports whether it does so for good.
@@ -29,10 +31,11 @@
 }
 
 // end begins the end. A pause due is left: the end closes connections by itself.
-func (l *leaving) end() {
+// handed: another process has the clients from now on.
+func (l *leaving) end(handed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.over = true
+	l.over, l.handed = true, l.handed || handed
 	l.stop()
 }
 
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -140,7 +140,7 @@
 			out--
 			if err = o.err; err == nil {
 				g, version, err = w.names.ParseGroup(o.data)
-				g.At = time.Now()
+				g.At, g.Version = time.Now(), version
 			}
 			switch {
 			case err == nil, ctx.Err() != nil, errors.Is(err, syscall.ECONNREFUSED), begun > w.again && out == 0:
