Stream bodies and answers beyond 64 KiB, and count a slow body's time from its end

Up to 64 KiB a message is kept whole as before. Beyond that it goes on as it comes, 32 KiB in the node at a time each way. An answer counts as served at its first bytes; a slow body is sent once, to one peer, fills no limit and says nothing of its server until its last byte has left (brain: Request.Slow, Written). Not taken: an account of kept bodies that could be tried again; it holds slow uploads back from their peers.

Ruled out: write time-outs and the bound on length.

--- a/brain/api.go
+++ b/brain/api.go
@@ -148,6 +148,9 @@
 	Class  int
 	Tenant int
 	Repeat bool // the client marked it as a repeat
+	// Slow: its last byte is still to come, and goes on to the server as it comes. It can be sent once only.
+	// Its time begins, and the server holds it, with Written; Budget counts until then.
+	Slow bool
 }
 
 // Result says how an attempt or a probe ended.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,7 @@
 package brain
 
-// Every decision of a node is in this file; its types, events and actions are in api.go, and what it
-// remembers, with its random numbers, in state.go. It reads in the order of a request's life; then comes
-// what goes on beside it: evidence, the list, probes, cold servers, the lookup table.
+// Every decision of a node; types and events are in api.go, what it remembers in state.go. It reads in the
+// order of a request's life, then what goes on beside: evidence, the list, probes, cold servers, the table.
 
 import (
 	"cmp"
@@ -90,7 +89,7 @@
 	}
 	c := &b.classes[in.Class]
 	r := &request{id: in.ID, class: c, key: in.Key, cost: c.lat, share: c.share,
-		luck: b.chance(), arrived: now, deadline: now + Time(in.Budget)}
+		luck: b.chance(), slow: in.Slow, arrived: now, deadline: now + Time(in.Budget)}
 	if in.Tenant >= 0 && in.Tenant < len(b.tenants) {
 		r.tenant = &b.tenants[in.Tenant]
 	}
@@ -132,7 +131,7 @@
 
 // forward sends the next attempt of a request, lets it wait, or gives it up.
 func (b *Balancer) forward(r *request) {
-	if b.now < r.deadline && r.n < b.set.TryLimit {
+	if b.now < r.deadline && r.n < b.set.TryLimit && (r.n == 0 || !r.slow) {
 		if s := b.pick(r); s != nil {
 			b.send(r, s)
 			return
@@ -171,10 +170,8 @@
 }
 
 func (b *Balancer) leave(r *request) {
-	if r.queued {
-		r.queued = false
-		b.waiting = slices.DeleteFunc(b.waiting, func(q *request) bool { return q == r })
-	}
+	r.queued = false
+	b.waiting = slices.DeleteFunc(b.waiting, func(q *request) bool { return q == r })
 }
 
 // pick chooses a server by the table: the key's entry, or the less busy of two draws; where that is full or
@@ -312,7 +309,10 @@
 	s.spent += r.pay()
 	s.sent++
 	b.sent++
-	r.attempts[r.n] = attempt{to: s, sent: b.now, out: true}
+	r.attempts[r.n] = attempt{to: s, sent: b.now, out: true, mute: r.slow}
+	if r.slow {
+		b.landed(&r.attempts[r.n])
+	}
 	r.n, r.out = r.n+1, r.out+1
 	b.host.Send(r.id, s.ID, 0)
 	if half := r.class.Aim / 2; b.copies >= 1 && b.set.SecondCopies && b.again(r) {
@@ -387,9 +387,8 @@
 	return sure || b.hush > hushed && b.now > a.sent+Time(r.class.Aim), sure
 }
 
-// sweep finds the attempts that are silent. They count as in flight no more, and where one is overtaken and a
-// repeat is harmless another is sent. It guards against connections that fall silent, which would fill each
-// limit with requests that no server holds; it costs a second run of what was only slow.
+// sweep takes silent attempts out of what is in flight, where they would fill limits with requests that no
+// server holds. Where one is overtaken and a repeat is harmless another is sent, also of what was only slow.
 func (b *Balancer) sweep() {
 	off, found := []Outcome(nil), 0
 	for _, r := range b.open { // in any order: what is found counts once all have been looked at
@@ -452,6 +451,16 @@
 	}
 }
 
+// Written takes the news that a slow request's last byte has left: its time begins, and the server holds it.
+func (b *Balancer) Written(now Time, id RequestID, n int, budget time.Duration) {
+	b.now = now
+	if r := b.open[id]; r != nil && n >= 0 && n < r.n && r.attempts[n].out && r.attempts[n].mute {
+		a := &r.attempts[n]
+		a.lost, a.mute, a.sent, r.arrived, r.deadline = false, false, now, now, now+Time(budget)
+		a.to.inflight, a.to.heard = a.to.inflight+1, now
+	}
+}
+
 // end calls off what is still out and forgets the request once every attempt is back.
 func (b *Balancer) end(r *request) {
 	if !r.done {
@@ -553,9 +562,8 @@
 }
 
 // witness lets an outcome of real work step the server's counter as a probe's result does. A failure counts
-// only as far as its class and tenant go well elsewhere. Probes that pass at a server where work fails are
-// passed over for a pause that doubles until an answer comes. It guards against servers that fail, hang or
-// lose work behind good probes.
+// only as far as its class and tenant go well elsewhere. Probes that pass where work fails are passed over for
+// a pause that doubles until an answer comes: servers may fail, hang or lose work behind good probes.
 func (b *Balancer) witness(a *attempt, r *request, good bool) {
 	s := a.to
 	if good {
@@ -629,8 +637,7 @@
 	b.forget()
 }
 
-// forget drops servers that have been gone for long and hold nothing. It guards a node's memory where servers
-// are replaced all day; one that comes back after that is met as a new one.
+// forget drops servers gone for long that hold nothing: memory, where servers are replaced all day.
 func (b *Balancer) forget() {
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
 		old := s.State == Gone && !b.listed(s) && s.inflight == 0 &&
@@ -738,8 +745,7 @@
 }
 
 // probe sends the probes that are due. A fresh answer to real work stands in for a pass, and probes cost no
-// more than a share of the traffic, or many nodes would send many a request; those held back go first next
-// time. It costs sight: a node of many learns of a silent server by its own failed work.
+// more than a share of the traffic, which costs a node of many sight; those held back go first next time.
 func (b *Balancer) probe(s *server, at int) {
 	if s.probing != 0 && b.now-s.probing >= Time(probeTimeout) {
 		b.result(s, false)
@@ -815,8 +821,7 @@
 
 // coldRoom holds the fourth rule. For each half of a fall window, counted from the node's start, a cold
 // server is sent no more than its share of what warm ones carry from this node. Where that is less than one
-// request, chance, drawn once a half, lets one through: the sum over nodes holds, however many they are and
-// however hot a key. It costs time: servers warm more slowly than they could.
+// request, chance, drawn once a half, lets one through: the sum over all nodes holds. It costs time to warm.
 func (b *Balancer) coldRoom(s *server, r *request) bool {
 	w := b.warm(s)
 	if w >= 1 {
@@ -892,8 +897,7 @@
 }
 
 // build fills the Maglev table (Eisenbud et al., NSDI 2016), and one of this zone's servers where crossing
-// costs more than the imbalance of so few. As many keys keep to it first as the zone's part can carry, and
-// as it can once one of its servers has failed. It costs a key a warm server in each zone.
+// costs more than the imbalance of so few. Keys keep to it as far as the zone carries them with one less.
 func (b *Balancer) build() {
 	b.dirty, b.built = false, b.now
 	most, all, own, n := 0, 0.0, 0.0, 0.0
--- /dev/null
+++ b/brain/slow_test.go
@@ -0,0 +1,45 @@
+package brain
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSlowRequest: a request whose body is still coming fills no limit and says
+// nothing of its server until its last byte has left; it is sent once, however
+// surely it never ran, and its answer's time counts from that byte.
+func TestSlowRequest(t *testing.T) {
+	g := start(t, base(), 1, fleet(4)...)
+	slow := func() (RequestID, *request) {
+		id := g.ask(1, 7)
+		g.next++
+		g.open[id+1] = &ticket{class: 1, deadline: 1 << 62}
+		g.order = append(g.order, id+1)
+		g.b.Request(g.now, Request{ID: id + 1, Budget: time.Hour, Key: 7, Class: 1, Slow: true})
+		g.answer(id, 0, OK)
+		return id + 1, g.b.open[id+1]
+	}
+	id, r := slow()
+	s := r.attempts[0].to
+	if s.inflight != 0 || !r.attempts[0].mute {
+		t.Fatalf("%d in flight while the body is coming", s.inflight)
+	}
+	g.pass(5*time.Second, 20*time.Millisecond, func(ServerID) bool { return false })
+	if g.b.hush != 0 || r.done {
+		t.Errorf("a body that takes long counts as silence: %v", g.b.hush)
+	}
+	g.b.Written(g.now, id, 0, time.Second)
+	if s.inflight != 1 || r.deadline != g.now+Time(time.Second) || r.attempts[0].sent != g.now {
+		t.Errorf("written: %d in flight, deadline %d at %d", s.inflight, r.deadline, g.now)
+	}
+	g.answer(id, 0, OK)
+	if s.inflight != 0 || g.b.open[id] != nil {
+		t.Error("its outcome leaves something behind")
+	}
+	id, _ = slow()
+	g.answer(id, 0, ConnectFailed)
+	if got := g.open[id]; got.ended != "refuse" || len(got.shots) != 1 {
+		t.Errorf("after a try that never ran: %q, %d tries", got.ended, len(got.shots))
+	}
+	g.check()
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -9,23 +9,22 @@
 
 type server struct {
 	Server
-	known, bound      bool // named by the last whole list; seen draining: DroppedStay no longer holds
-	unknown, fresh    bool // no result yet; none since this node started: counts as Up for the warm-up
-	counter, inflight int
-	weight, credit    int
-	sent, owed        float64
-	felt              Time
-	size, limit, done float64 // done: work since the last measure
-	ease, blame       float64 // mean wait as a share of the aim; failures of real work not yet counted
-	probeAt, probing  Time    // when the next probe is due; when the one out was sent, 0: none
-	heard, served     Time    // last answer, or when it became busy; last good answer to real work
-	newest, shut      Time    // when the last sent of those answered well was; nothing is sent before
-	cutAt, outAt      Time    // when the limit was last cut; when it left the table, 0: it is in
-	doubt, rampFrom   Time    // passed probes prove nothing before; when the ramp began
-	pause, rampFor    time.Duration
-	half              int64   // the half fall window that the next two are of
-	spent, luck       float64 // work sent in it; in [0, 1), the fraction of a request that it needs
-	next              uint64
+	known, bound       bool // named by the last whole list; seen draining: DroppedStay no longer holds
+	unknown, fresh     bool // no result yet; none since this node started: counts as Up for the warm-up
+	counter, inflight  int
+	weight, credit     int
+	sent, owed         float64
+	size, limit, done  float64 // done: work since the last measure
+	ease, blame        float64 // mean wait as a share of the aim; failures of real work not yet counted
+	probeAt, probing   Time    // when the next probe is due; when the one out was sent, 0: none
+	heard, served      Time    // last answer, or when it became busy; last good answer to real work
+	newest, shut, felt Time    // when the last sent of those answered well was; nothing is sent before
+	cutAt, outAt       Time    // when the limit was last cut; when it left the table, 0: it is in
+	doubt, rampFrom    Time    // passed probes prove nothing before; when the ramp began
+	pause, rampFor     time.Duration
+	half               int64   // the half fall window that the next two are of
+	spent, luck        float64 // work sent in it; in [0, 1), the fraction of a request that it needs
+	next               uint64
 }
 
 type attempt struct {
@@ -38,16 +37,16 @@
 }
 
 type request struct {
-	id                       RequestID
-	class                    *class
-	tenant                   *tenant
-	key                      uint64
-	arrived, deadline, until Time    // until: when a wait is over
-	cost, share              float64 // share: part of a server's limit it may use
-	luck, blame              float64 // fraction of a window it needs; its class's or tenant's bad
-	n, out                   int
-	done, queued, deadly     bool // deadly: its connection broke, it may have brought the server down
-	attempts                 [maxAttempts]attempt
+	id                         RequestID
+	class                      *class
+	tenant                     *tenant
+	key                        uint64
+	arrived, deadline, until   Time    // until: when a wait is over
+	cost, share                float64 // share: part of a server's limit it may use
+	luck, blame                float64 // fraction of a window it needs; its class's or tenant's bad
+	n, out                     int
+	done, queued, slow, deadly bool // deadly: its connection broke, it may have brought the server down
+	attempts                   [maxAttempts]attempt
 }
 
 // standing is how the outcomes of a class or tenant, and all others', went: 0 at once, 1 late or not at all.
@@ -98,12 +97,10 @@
 	short                   int     // where the first server stands whose probe was due and not in hand
 	carried                 float64 // work a second that warm servers carry, per unit of size
 	carryAt, askAt, logFrom Time    // logFrom: one line is free for each second since
+	good, pacedAt           Time
 	asking, watched         bool
 	fails                   int
-	sent, weights           float64
-	good                    Time
-	press                   float64
-	pacedAt                 Time
+	sent, weights, press    float64
 }
 
 func (b *Balancer) random() uint64 {
--- /dev/null
+++ b/cmd/olivebridge/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main
+
+const raceEnabled = false
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -20,13 +20,8 @@
 	return transport.ClientBounds{Open: descriptors(c, part), Idle: int(float64(c.Sockets) * part / 4)}
 }
 
-// answerPart is the part of the memory that one answer may take. Peers have been
-// seen to send several times the 64 KiB of the protocol; to fail such answers
-// sends their calls to one peer after the other.
-const answerPart = 64
-
 func (n *Node) carrierConfig(c *protocol.Config, part float64) transport.CarrierConfig {
 	return transport.CarrierConfig{ConnectTimeout: c.ConnectTimeout, IdleClose: c.IdleClose,
-		DrainGrace: c.Settings.DrainGrace, MaxConns: descriptors(c, part), MaxAnswer: c.MemoryMB << 20 / answerPart,
+		DrainGrace: c.Settings.DrainGrace, MaxConns: descriptors(c, part),
 		Dial: n.parts.Dial, Log: n.log}
 }
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -22,6 +22,17 @@
 	few      [2]*attempt // room for tries
 }
 
+// slowest is the longest that a slow call may take to come: 32 MB at a little over 16 kB a second.
+const slowest = 32 * time.Minute
+
+// patience is how long after its arrival a call is over.
+func (e *openCall) patience() time.Duration {
+	if e.Slow {
+		return e.Budget + slowest
+	}
+	return e.Budget
+}
+
 // admitEvent is the second stage: the call enters the table and the Balancer
 // decides.
 type admitEvent struct{ e *openCall }
@@ -41,10 +52,10 @@
 	r.lastID++
 	e.id = r.lastID
 	e.tries = e.few[:0]
-	e.deadline = r.brainTime(e.Arrived.Add(e.Budget - answerMargin))
+	e.deadline = r.brainTime(e.Arrived.Add(e.patience() - answerMargin))
 	r.open[e.id] = e
 	r.brain.Request(now, brain.Request{
 		ID: e.id, Budget: time.Duration(max(e.deadline-now, 0)), Key: e.Key,
-		Class: e.Class, Tenant: e.Tenant, Repeat: e.Repeat,
+		Class: e.Class, Tenant: e.Tenant, Repeat: e.Repeat, Slow: e.Slow,
 	})
 }
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"olivebridge/brain"
@@ -18,8 +19,9 @@
 // nothing unless somebody asks for it. It has no timer: Until is the carrier's.
 type attempt struct {
 	Try
-	router *Router
-	begun  time.Time
+	router  *Router
+	begun   time.Time
+	written atomic.Pointer[time.Time] // when a slow call's last byte had left
 
 	// the outcome; of the try's goroutine until it is posted, then of the decisions
 	result  TryResult
@@ -37,8 +39,36 @@
 	r := a.router
 	defer r.tasks.Done()
 	a.carry()
-	a.latency = time.Since(a.begun)
-	r.post(outcomeEvent{a})
+	begun := a.begun
+	if at := a.written.Load(); at != nil {
+		begun = *at
+	}
+	a.latency = time.Since(begun)
+	if !r.post(outcomeEvent{a}) {
+		drop(a.result.Reply)
+	}
+}
+
+// hasLeft notes that the last byte of a slow call has left: its time begins.
+func (a *attempt) hasLeft() {
+	now := time.Now()
+	a.written.Store(&now)
+	a.router.post(writtenEvent{a, now})
+}
+
+// writtenEvent tells the decisions.
+type writtenEvent struct {
+	a  *attempt
+	at time.Time
+}
+
+func (w writtenEvent) call() brain.RequestID { return w.a.Call }
+
+func (w writtenEvent) handle(r *Router) {
+	if e := r.open[w.a.Call]; e != nil && !w.a.in {
+		e.deadline = r.brainTime(w.at.Add(e.Budget - answerMargin))
+		r.brain.Written(r.now(), w.a.Call, w.a.Attempt, e.Budget-answerMargin)
+	}
 }
 
 // carry lets the carrier bring the try to its peer.
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -25,6 +25,9 @@
 	Arrived       time.Time     // when its last byte came
 	Budget        time.Duration // how long its client waits from then on
 	Payload       any
+	// Slow: its last byte is still to come, and the carrier sends it on as it comes. Arrived is when its head
+	// came; Budget counts from the last byte on.
+	Slow bool
 }
 
 // Verdict says how a call was answered.
@@ -58,12 +61,26 @@
 	Until   time.Time    // the carrier stops waiting then
 	Over    *atomic.Bool // its call has been answered: it must not begin any more; nil: never
 	Payload any
+	// Budget is a slow call's, and Written is to be called, once, when its last byte has left. Until then Until
+	// does not count. nil: all of the call is there.
+	Budget  time.Duration
+	Written func()
 }
 
 // TryResult is how a try ended.
 type TryResult struct {
 	Result brain.Result
-	Reply  any // with brain.OK
+	Reply  any // with brain.OK; a Dropper is told if nobody takes it
+}
+
+// Dropper is a reply that holds more than memory.
+type Dropper interface{ Drop() }
+
+// drop lets go of a reply that nobody takes.
+func drop(reply any) {
+	if d, ok := reply.(Dropper); ok {
+		d.Drop()
+	}
 }
 
 // Carrier brings tries and probes to peers. Its methods block until the end is
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -40,6 +40,8 @@
 		e.answered = true
 		e.over.Store(true)
 		e.give(a)
+	} else {
+		drop(a.Reply)
 	}
 }
 
@@ -75,6 +77,9 @@
 func (h hangUpEvent) call() brain.RequestID { return h.e.id }
 
 func (h hangUpEvent) handle(r *Router) {
+	if h.e.answered { // the answer was on its way
+		drop(h.e.answer.Reply)
+	}
 	if r.open[h.e.id] != h.e {
 		return
 	}
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -25,6 +25,9 @@
 	a.Try = Try{Call: id, Attempt: len(e.tries), Peer: r.peers[to], Until: r.instant(until),
 		Over: &e.over, Payload: e.Payload}
 	a.router, a.begun = r, time.Now()
+	if e.Slow {
+		a.Budget, a.Written = e.Budget-answerMargin, a.hasLeft
+	}
 	e.tries = append(e.tries, a)
 	e.out++
 	r.count.Tries.Add(1)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -137,11 +137,13 @@
 type concerned interface{ call() brain.RequestID }
 
 // post hands an event to the decision goroutine; it may wait, so that
-// goroutine itself never calls it.
-func (r *Router) post(e event) {
+// goroutine itself never calls it. Once the decisions have ended it reports false.
+func (r *Router) post(e event) bool {
 	select {
 	case r.events <- e:
+		return true
 	case <-r.stopped:
+		return false
 	}
 }
 
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -82,7 +82,7 @@
 // already: the decisions can be done with a call before its front waits for it.
 func (r *Router) await(ctx context.Context, e *openCall) (a Answer, ok bool) {
 	w := e.wait
-	w.guard.Reset(time.Until(e.Arrived.Add(e.Budget + guardDelay)))
+	w.guard.Reset(time.Until(e.Arrived.Add(e.patience() + guardDelay)))
 	select {
 	case <-w.told:
 		a = e.answer
--- a/internal/transport/answer.go
+++ b/internal/transport/answer.go
@@ -8,6 +8,9 @@
 	"io"
 	"net/http/httputil"
 	"strings"
+	"time"
+
+	"olivebridge/internal/protocol"
 )
 
 // errSpoilt marks an answer that breaks HTTP/1.1 or its own word. Its try may
@@ -27,11 +30,13 @@
 	answerHead
 	body []byte
 	buf  *buffer // that body stands in; nil: none of the carrier's
+	rest *rest   // of a long one, whose first part is the body; nil: there is none
 }
 
-// readAnswer reads the one answer to a request, of at most most bytes, into a
-// buffer of home's. Any error but errSpoilt is one of reading.
-func readAnswer(in *bufio.Reader, home *buffers, most int64) (a answer, err error) {
+// readAnswer reads the one answer to a request, into a buffer of home's; of one
+// that is long, or of unknown length and slow to come, the first part. Any error
+// but errSpoilt is one of reading.
+func readAnswer(c *peerConn, in *bufio.Reader, home *buffers, until time.Time) (a answer, err error) {
 	for room := maxHead; ; {
 		head, err := readHead(in, room)
 		if err != nil {
@@ -50,7 +55,7 @@
 			}
 			continue
 		}
-		return a, a.readBody(in, home, most)
+		return a, a.readBody(c, in, home, until)
 	}
 }
 
@@ -97,34 +102,35 @@
 }
 
 // readBody reads what follows the head.
-func (a *answer) readBody(in *bufio.Reader, home *buffers, most int64) (err error) {
+func (a *answer) readBody(c *peerConn, in *bufio.Reader, home *buffers, until time.Time) (err error) {
 	switch {
 	case a.status == 204 || a.status == 304: // have none
 	case a.chunked:
-		if a.body, err = readBounded(httputil.NewChunkedReader(in), most); err == nil {
-			err = skipTrailer(in)
-		}
-	case a.length > most:
+		err = a.begin(c, in, &trailed{chunks: httputil.NewChunkedReader(in), in: in}, until)
+	case a.length > maxStream:
 		err = errOversize
+	case a.length > protocol.MaxBody:
+		a.rest = &rest{c: c, in: in, body: in, length: a.length, left: a.length}
 	case a.length > 0:
 		a.buf = home.take(int(a.length))
 		a.body = a.buf.b[:a.length]
 		_, err = io.ReadFull(in, a.body)
 	case a.length == 0:
 	case strings.EqualFold(a.first("Connection"), "close"):
-		a.body, err = readBounded(in, most)
+		err = a.begin(c, in, in, until)
 	default: // the end of the connection would be no sign that it is whole
 		err = spoilt("no length")
 	}
 	return err
 }
 
-func readBounded(r io.Reader, most int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, most+1))
-	if err == nil && int64(len(body)) > most {
-		err = errOversize
+// begin reads the first part of a body whose length is not announced.
+func (a *answer) begin(c *peerConn, in *bufio.Reader, body io.Reader, until time.Time) (err error) {
+	var whole bool
+	if a.body, whole, err = gather(c, in, body, protocol.MaxBody, until); err == nil && !whole {
+		a.rest = &rest{c: c, in: in, body: body, length: -1, left: maxStream}
 	}
-	return body, err
+	return err
 }
 
 // skipTrailer reads what stands behind the last chunk.
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -21,7 +21,6 @@
 	IdleClose      time.Duration // peers close a connection idle for this long
 	DrainGrace     time.Duration // first bytes to a leaving peer end within this time
 	MaxConns       int           // connections to all peers together
-	MaxAnswer      int           // bytes of an answer's body; at least protocol.MaxBody is taken
 	Log            *slog.Logger
 	Dial           Dialer // nil: TCP
 }
@@ -75,7 +74,26 @@
 // Probe implements routing.Carrier.
 func (k *Carrier) Probe(ctx context.Context, p *routing.Peer) brain.Result {
 	t := routing.Try{Peer: p, Until: time.Now().Add(4 * k.config.Load().ConnectTimeout)}
-	return k.exchange(ctx, t, newMessage(&k.buffers, http.MethodGet, protocol.PathLive, p.Addr, nil, 0), false).Result
+	r := k.exchange(ctx, t, newMessage(&k.buffers, http.MethodGet, protocol.PathLive, p.Addr, nil, 0), false)
+	if d, ok := r.Reply.(routing.Dropper); ok {
+		d.Drop()
+	}
+	return r.Result
+}
+
+// The results that more than one kind of try ends with.
+const (
+	moot, rejected, connectFailed = brain.Moot, brain.Rejected, brain.ConnectFailed
+)
+
+// keep puts a connection back that carries nothing, unless its request is still being sent.
+func (k *Carrier) keep(c *peerConn) {
+	if c.up != nil && !c.up.whole.Load() {
+		c.end("peer-asked") // by answering early
+		return
+	}
+	c.up = nil
+	k.pool.put(c)
 }
 
 // exchange sends one message to a peer, at most once, and waits for the answer.
@@ -98,6 +116,9 @@
 		c.end("not-sent")
 		return routing.TryResult{Result: brain.Moot}
 	}
+	if m.up != nil {
+		return k.carryUpload(ctx, t, m, c)
+	}
 	c.SetDeadline(t.Until)
 	watch := watchEnd(ctx, c)
 	var budget time.Duration
@@ -116,16 +137,31 @@
 		}
 		return routing.TryResult{Result: brain.ConnectFailed}
 	}
+	return k.receive(ctx, t, c, watch)
+}
+
+// receive reads the answer to a try, or the first part of a long one.
+func (k *Carrier) receive(ctx context.Context, t routing.Try, c *peerConn, watch endWatch) routing.TryResult {
 	in := k.readers.Get().(*bufio.Reader)
 	in.Reset(c)
-	a, err := readAnswer(in, &k.buffers, int64(max(k.config.Load().MaxAnswer, protocol.MaxBody)))
+	a, err := readAnswer(c, in, &k.buffers, t.Until)
+	undisturbed := watch.end()
+	res := protocol.ResultOf(a.status, a.values(protocol.HeaderRejected))
+	if err == nil && a.rest != nil && res == brain.OK && undisturbed {
+		a.rest.carrier, a.rest.last = k, a.last
+		return routing.TryResult{Result: brain.OK, Reply: &reply{fields: a.endToEnd(), body: a.body, rest: a.rest}}
+	}
 	surplus := in.Buffered() > 0
 	in.Reset(nil)
 	k.readers.Put(in)
-	undisturbed := watch.end()
 	switch {
 	case err != nil:
-		return routing.TryResult{Result: c.ended(err, causeOf(ctx, t.Until, time.Now()))}
+		return routing.TryResult{Result: c.ended(err, causeOf(ctx, untilOf(t, c.up), time.Now()))}
+	case a.rest != nil && res == brain.OK:
+		c.end("called-off")
+		return routing.TryResult{Result: brain.Cancelled}
+	case a.rest != nil: // no reader wants the rest of a failure
+		c.end("oversize")
 	case surplus: // guards the next call: it may be taken for its answer
 		c.end("surplus")
 	case a.last:
@@ -133,9 +169,8 @@
 	case !undisturbed:
 		c.end("called-off")
 	default:
-		k.pool.put(c)
+		k.keep(c)
 	}
-	res := protocol.ResultOf(a.status, a.values(protocol.HeaderRejected))
 	p := &reply{fields: a.endToEnd(), body: a.body, buf: a.buf, home: &k.buffers}
 	if res != brain.OK {
 		p.free()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -26,8 +26,8 @@
 // How long a client may take. One that sends nothing usable is owed an error
 // or a close within 3 s of connecting, and holds a descriptor for as long.
 const (
-	headTimeout    = 2 * time.Second
-	requestTimeout = 2500 * time.Millisecond // its body included
+	headTimeout    = 2600 * time.Millisecond // some take two seconds
+	requestTimeout = bodyAllowance           // its body included, but for what its length allows it
 	// Between requests. Clients may hold only so many connections to a node, and
 	// some ask once and keep theirs: a longer time leaves the others none.
 	idleTimeout  = 2100 * time.Millisecond
@@ -158,7 +158,8 @@
 			w.WriteHeader(http.StatusInternalServerError)
 		}
 	}()
-	if path, _, _ := strings.Cut(r.RequestURI, "?"); path == protocol.PathReady {
+	target := originForm(r.RequestURI)
+	if path, _, _ := strings.Cut(target, "?"); path == protocol.PathReady {
 		f.ready(w, r)
 		return
 	}
@@ -166,7 +167,7 @@
 	if !k.requestBegins() {
 		panic(http.ErrAbortHandler) // its client sees the end of the connection, and sends it again
 	}
-	call, status, err := f.read(r, k)
+	call, status, err := f.read(r, k, target)
 	if _, last := k.framed(); last {
 		w.Header().Set("Connection", "close")
 	}
@@ -174,21 +175,53 @@
 		f.refuse(w, status, err)
 		return
 	}
-	// The request has come in time; net/http would take the end of that time for
-	// the client's going.
-	http.NewResponseController(w).SetReadDeadline(time.Time{})
+	up := call.Payload.(*message).up
+	if up == nil {
+		// The request has come in time; net/http would take the end of that time for
+		// the client's going.
+		http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
 	if f.clients.crowded() { // guards the descriptors: no try, and room for the next
 		f.shed.Add(1)
 		w.Header().Set("Connection", "close")
-		f.answer(w, routing.Answer{Verdict: routing.Reject, RetryAfter: shedRetryAfter})
+		f.answer(w, k, routing.Answer{Verdict: routing.Reject, RetryAfter: shedRetryAfter})
 		return
 	}
 	a, ok := f.taker.Take(r.Context(), call)
-	call.Payload.(*message).release()
 	if !ok { // nobody should read it, but net/http must not make it an empty 200
 		a = routing.Answer{Verdict: routing.Failed}
 	}
-	f.answer(w, a)
+	if up != nil {
+		f.answerUpload(w, r, call, a)
+		return
+	}
+	call.Payload.(*message).release()
+	f.answer(w, k, a)
+}
+
+// answerUpload answers a call whose body may still be coming.
+func (f *Front) answerUpload(w http.ResponseWriter, r *http.Request, call routing.Call, a routing.Answer) {
+	m := call.Payload.(*message)
+	up := m.up
+	err := up.end()
+	m.release()
+	up.k.SetWriteDeadline(time.Now().Add(writeTimeout)) // net/http counts from the request's head
+	switch {
+	case err == errTooLarge:
+		f.refuse(w, http.StatusRequestEntityTooLarge, errors.New("body: too large"))
+		return
+	case err != nil && a.Verdict != routing.Served:
+		f.refuse(w, http.StatusBadRequest, fmt.Errorf("body: %w", err))
+		return
+	}
+	if !up.whole.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	f.answer(w, up.k, a)
+	if !up.whole.Load() && (up.begun || r.Header.Get("Expect") == "") {
+		w.(http.Flusher).Flush() // the answer is not to wait for the rest
+		up.discard()
+	}
 }
 
 // ready says whether the node may be sent clients.
@@ -214,7 +247,7 @@
 }
 
 // read takes a call out of a request, or says which 4xx it deserves.
-func (f *Front) read(r *http.Request, k *clientConn) (routing.Call, int, error) {
+func (f *Front) read(r *http.Request, k *clientConn, target string) (routing.Call, int, error) {
 	if !r.ProtoAtLeast(1, 1) { // net/http passes over a Transfer-Encoding there
 		return routing.Call{}, http.StatusHTTPVersionNotSupported, errors.New("version: below HTTP/1.1")
 	}
@@ -222,7 +255,7 @@
 		return routing.Call{}, http.StatusBadRequest,
 			errors.New("framing: two lengths, a folded line, or one that ends without a carriage return")
 	}
-	if err := checkHead(r); err != nil {
+	if err := checkHead(r, target); err != nil {
 		return routing.Call{}, http.StatusBadRequest, err
 	}
 	header := func(name string) []string { return r.Header[name] }
@@ -230,10 +263,7 @@
 	if err != nil {
 		return call, http.StatusBadRequest, err
 	}
-	if r.ContentLength > protocol.MaxBody {
-		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
-	}
-	m, err := f.message(r)
+	m, err := f.takeBody(requestBody{Request: r, target: target, length: r.ContentLength, k: k})
 	switch {
 	case err == errTooLarge:
 		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
@@ -242,28 +272,20 @@
 	case len(m.body) > 0 && r.Method == http.MethodGet: // a peer that reads none would take it for a request
 		return call, http.StatusBadRequest, errors.New("body: none belongs to a GET")
 	}
-	call.Arrived = time.Now()
-	k.requestRead()
+	call.Arrived, call.Slow = time.Now(), m.up != nil
+	if !call.Slow {
+		k.requestRead()
+	}
 	m.from, m.arrived, call.Payload = k, call.Arrived, m
 	return call, 0, nil
 }
 
-// message reads a request whole.
-func (f *Front) message(r *http.Request) (*message, error) {
-	if r.ContentLength >= 0 {
-		m := newMessage(&f.buffers, r.Method, r.RequestURI, r.Host, r.Header, int(r.ContentLength))
-		if r.ContentLength > 0 {
-			return m, m.readBody(r.Body)
-		}
-		return m, nil
-	}
-	body, err := readChunks(r.Body)
-	if err != nil {
-		return nil, err
-	}
-	m := newMessage(&f.buffers, r.Method, r.RequestURI, r.Host, r.Header, len(body))
-	copy(m.body, body)
-	return m, nil
+// requestBody is a request whose body is still to be read.
+type requestBody struct {
+	*http.Request
+	target string
+	length int64 // -1: not announced
+	k      *clientConn
 }
 
 // mayEnd ends the connection with the answer at hand while the node empties itself.
@@ -274,7 +296,7 @@
 }
 
 // answer writes the one final answer.
-func (f *Front) answer(w http.ResponseWriter, a routing.Answer) {
+func (f *Front) answer(w http.ResponseWriter, k *clientConn, a routing.Answer) {
 	h := w.Header()
 	if a.Verdict == routing.Served {
 		a.Reply.(*reply).putInto(h)
@@ -283,6 +305,10 @@
 	switch a.Verdict {
 	case routing.Served:
 		p := a.Reply.(*reply)
+		if p.rest != nil {
+			f.stream(w, k, p)
+			return
+		}
 		w.Write(p.body) // an error here is the client's going; its connection's line tells
 		p.free()
 		return
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -12,8 +12,8 @@
 // checkHead says what is wrong with the head of a request that net/http has
 // taken. It guards the peers against heads that the node and they would read
 // in different ways.
-func checkHead(r *http.Request) error {
-	if err := checkTarget(r.RequestURI); err != nil {
+func checkHead(r *http.Request, target string) error {
+	if err := checkTarget(target); err != nil {
 		return err
 	}
 	odd := func(c rune) bool { return !unreserved(c) && !strings.ContainsRune("[:]", c) }
@@ -35,6 +35,23 @@
 	return nil
 }
 
+// originForm is a target as peers get it: of one that names its host, too, the
+// path and query. net/http has the host by then.
+func originForm(target string) string {
+	const scheme = "http://"
+	if len(target) < len(scheme) || !strings.EqualFold(target[:len(scheme)], scheme) {
+		return target
+	}
+	at := strings.IndexAny(target[len(scheme):], "/?")
+	if at < 0 {
+		return "/"
+	}
+	if target = target[len(scheme)+at:]; target[0] == '?' {
+		target = "/" + target
+	}
+	return target
+}
+
 // checkTarget takes a path as RFC 3986 has it, to the letter: a target goes on as
 // it came, and servers part on what the rest means. A query may hold what
 // browsers leave unescaped in it.
--- a/internal/transport/message.go
+++ b/internal/transport/message.go
@@ -32,6 +32,7 @@
 
 	from    interface{ left() bool } // the client connection; nil: none
 	arrived time.Time
+	up      *upload // the body, where it is too long to be kept; nil: it is all here
 }
 
 // atOnce is how long after its call a first try leaves without a look at the client.
@@ -49,7 +50,13 @@
 
 // newMessage makes a message, held by its maker, of what concerns more than one
 // connection. The body, of so many bytes, is still to be read.
-func newMessage(home *buffers, method, target, host string, header http.Header, length int) *message {
+//
+// One that is longer than a message keeps, or of unknown length (-1), has no room.
+func newMessage(home *buffers, method, target, host string, header http.Header, announced int64) *message {
+	length := int(announced)
+	if announced < 0 || announced > protocol.MaxBody {
+		length = 0
+	}
 	var few [24]string
 	names := few[:0]
 	size := len(method) + len(target) + len(host) + 80
@@ -69,8 +76,11 @@
 	h := append(m.buf.b[:0], method...)
 	h = append(append(append(h, ' '), target...), " HTTP/1.1\r\nHost: "...)
 	h = append(append(h, host...), "\r\n"...)
-	if length > 0 || method != http.MethodGet {
-		h = append(strconv.AppendInt(append(h, "Content-Length: "...), int64(length), 10), "\r\n"...)
+	switch {
+	case announced < 0:
+		h = append(h, "Transfer-Encoding: chunked\r\n"...)
+	case announced > 0 || method != http.MethodGet:
+		h = append(strconv.AppendInt(append(h, "Content-Length: "...), announced, 10), "\r\n"...)
 	}
 	for _, name := range names {
 		for _, v := range header[name] {
@@ -137,6 +147,7 @@
 	length [1]string // of body, for the client's head
 	buf    *buffer   // that body stands in; nil: none
 	home   *buffers
+	rest   *rest // nil: body is all of it
 }
 
 // putInto puts the answer's fields into a header, which refers to them from then on.
@@ -149,7 +160,14 @@
 			h[f.name] = f.value[:]
 		}
 	}
-	p.length[0] = strconv.Itoa(len(p.body))
+	switch {
+	case p.rest == nil:
+		p.length[0] = strconv.Itoa(len(p.body))
+	case p.rest.length >= 0:
+		p.length[0] = strconv.FormatInt(p.rest.length, 10)
+	default: // net/http sends it in chunks
+		return
+	}
 	h["Content-Length"] = p.length[:]
 }
 
@@ -190,15 +208,6 @@
 // errTooLarge says that a body has more bytes than the protocol allows.
 var errTooLarge = errors.New("too large")
 
-// readChunks reads a body whose length its head did not announce.
-func readChunks(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, protocol.MaxBody+1))
-	if err == nil && len(body) > protocol.MaxBody {
-		err = errTooLarge
-	}
-	return body, err
-}
-
 // readBody reads the body that a message's head announces. Room was made once:
 // growing buffers of many calls at a time would take much of a small machine's memory.
 func (m *message) readBody(r io.Reader) error {
--- a/internal/transport/peerconn.go
+++ b/internal/transport/peerconn.go
@@ -16,6 +16,7 @@
 	peer   *routing.Peer
 	freed  time.Time // when it fell idle
 	failed error     // of a read: what came before it is not whole
+	up     *upload   // that it carries, or carried last; nil: none
 }
 
 // Read implements net.Conn.
--- /dev/null
+++ b/internal/transport/upload.go
@@ -0,0 +1,261 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"olivebridge/internal/protocol"
+	"olivebridge/internal/routing"
+)
+
+const (
+	// maxUpload is the longest body that a client may send.
+	maxUpload = 32 << 20
+	// maxStream is the longest answer that a peer may give; one of several GB is no answer.
+	maxStream = 64 << 20
+	// streamBuffer holds what is on its way of one long message, each way.
+	streamBuffer = 32 << 10
+	// slowestRate is how fast a body must come in the mean, in bytes a second: half of what clients are known to need.
+	slowestRate = 32 << 10
+	// streamStall is how long a peer or a client may leave a long message where it stands.
+	streamStall = 30 * time.Second
+)
+
+// upload is a body that is too long to be kept: it goes on as it comes, to one
+// peer, once. The try reads it; its front waits until that has ended.
+type upload struct {
+	k      *clientConn
+	body   io.Reader
+	first  []byte // what was read ahead
+	length int64  // of all of it; -1: unknown, it goes on in chunks
+
+	mu      sync.Mutex
+	begun   bool          // a try reads the body
+	over    bool          // none may begin any more
+	done    chan struct{} // closed when that try has ended
+	refused error         // the client's fault: why the body is not whole; set before done is closed
+	whole   atomic.Bool   // its last byte has left
+	halted  atomic.Bool   // the rest is not wanted: that it does not come is not the client's fault
+	until   atomic.Int64  // the peer's answer is waited for, in Unix nanoseconds; 0: not yet
+}
+
+// begin lets one try read the body.
+func (u *upload) begin() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.begun || u.over {
+		return false
+	}
+	u.begun = true
+	return true
+}
+
+// end keeps tries from the body from now on, and waits for one that reads it.
+func (u *upload) end() error {
+	u.mu.Lock()
+	u.over = true
+	begun := u.begun
+	u.mu.Unlock()
+	if !begun {
+		return nil
+	}
+	u.halt()
+	return u.refused
+}
+
+// halt ends what is read of the body, unless all of it is, and waits for that.
+func (u *upload) halt() {
+	if !u.whole.Load() {
+		u.halted.Store(true)
+		u.k.SetReadDeadline(time.Unix(1, 0))
+	}
+	<-u.done
+	if u.whole.Load() {
+		u.k.SetReadDeadline(time.Time{}) // net/http looks for the client's going
+	}
+}
+
+// send sends the head and the body to a peer, and notes the client's fault if it ends early.
+func (u *upload) send(ctx context.Context, c *peerConn, head []byte, t routing.Try) {
+	defer close(u.done)
+	out := bufio.NewWriterSize(c, streamBuffer+64)
+	out.Write(head)
+	buf := make([]byte, streamBuffer)
+	total := int64(0)
+	for part, err := u.first, error(nil); ; {
+		if total += int64(len(part)); total > maxUpload {
+			err = errTooLarge
+		}
+		u.write(out, part, err == io.EOF)
+		if out.Flush() != nil || ctx.Err() != nil { // who reads the answer finds out
+			c.Interrupt()
+			return
+		}
+		if err == io.EOF {
+			u.k.SetReadDeadline(time.Time{})
+			u.k.requestRead()
+			u.whole.Store(true)
+			end := time.Now().Add(t.Budget)
+			u.until.Store(end.UnixNano())
+			c.SetReadDeadline(end)
+			if ctx.Err() != nil { // the deadline must not undo an interruption
+				c.Interrupt()
+			}
+			t.Written()
+			return
+		}
+		if err != nil {
+			if !u.halted.Load() {
+				u.refused = err
+			}
+			c.life.because("called-off")
+			c.Interrupt()
+			return
+		}
+		u.k.pace(total)
+		var n int
+		n, err = u.body.Read(buf)
+		part = buf[:n]
+	}
+}
+
+// write writes a part of the body, and its end.
+func (u *upload) write(out *bufio.Writer, part []byte, last bool) {
+	if u.length >= 0 {
+		out.Write(part)
+		return
+	}
+	if len(part) > 0 {
+		fmt.Fprintf(out, "%x\r\n", len(part))
+		out.Write(part)
+		out.WriteString("\r\n")
+	}
+	if last {
+		out.WriteString("0\r\n\r\n")
+	}
+}
+
+// bodyAllowance is what a body may take beyond its bytes at the slowest rate, with the head's time.
+const bodyAllowance = 2700 * time.Millisecond
+
+// pace lets a request's next bytes come, of whose body n have, as long as they come
+// at the slowest rate. A client that stops is found out as early as it ever was,
+// whatever it has sent before.
+func (k *clientConn) pace(n int64) {
+	end := k.begun().Add(bodyAllowance + time.Duration(n)*time.Second/slowestRate)
+	if stall := time.Now().Add(bodyAllowance); stall.Before(end) {
+		end = stall
+	}
+	k.SetReadDeadline(end)
+}
+
+// begun is when the request's first byte was read.
+func (k *clientConn) begun() time.Time {
+	k.all.mu.Lock()
+	defer k.all.mu.Unlock()
+	return k.since
+}
+
+// paced reads a body at its pace.
+type paced struct {
+	r io.Reader
+	k *clientConn
+	n int64
+}
+
+func (p *paced) Read(b []byte) (int, error) {
+	if p.n > 0 {
+		p.k.pace(p.n)
+	}
+	n, err := p.r.Read(b)
+	p.n += int64(n)
+	return n, err
+}
+
+// discard reads what is left of a body whose call has its answer, so that the
+// client comes to read that. One that waits to be told to go on sends none.
+func (u *upload) discard() {
+	var n int64
+	buf := make([]byte, 4<<10)
+	for n < maxUpload {
+		u.k.pace(n)
+		m, err := u.body.Read(buf)
+		if n += int64(m); err != nil {
+			return
+		}
+	}
+}
+
+// carryUpload brings a call to a peer whose body is still coming.
+func (k *Carrier) carryUpload(ctx context.Context, t routing.Try, m *message, c *peerConn) routing.TryResult {
+	u := m.up
+	if !u.begin() {
+		k.keep(c)
+		return routing.TryResult{Result: moot}
+	}
+	c.up = u
+	c.SetDeadline(time.Time{})
+	watch := watchEnd(ctx, c)
+	head, own := m.compose(t.Budget)
+	go func() {
+		u.send(ctx, c, head, t)
+		m.wrote(own)
+	}()
+	res := k.receive(ctx, t, c, watch)
+	u.halt()
+	if res.Reply == nil && !u.whole.Load() && res.Result != rejected { // the last byte never left: it never ran
+		if u.refused != nil || ctx.Err() != nil {
+			return routing.TryResult{Result: moot}
+		}
+		return routing.TryResult{Result: connectFailed}
+	}
+	return res
+}
+
+// untilOf is when the answer to a try is given up.
+func untilOf(t routing.Try, u *upload) time.Time {
+	if u == nil {
+		return t.Until
+	}
+	if at := u.until.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Now().Add(time.Hour)
+}
+
+// takeBody reads a body, or the first part of one that goes on as it comes.
+func (f *Front) takeBody(r requestBody) (*message, error) {
+	switch {
+	case r.length > maxUpload:
+		return nil, errTooLarge
+	case r.length > protocol.MaxBody:
+		return f.uploading(r, nil), nil
+	case r.length >= 0:
+		m := newMessage(&f.buffers, r.Method, r.target, r.Host, r.Header, r.length)
+		if r.length > 0 {
+			return m, m.readBody(&paced{r: r.Body, k: r.k})
+		}
+		return m, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(&paced{r: r.Body, k: r.k}, protocol.MaxBody+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > protocol.MaxBody {
+		return f.uploading(r, body), nil
+	}
+	m := newMessage(&f.buffers, r.Method, r.target, r.Host, r.Header, int64(len(body)))
+	copy(m.body, body)
+	return m, nil
+}
+
+func (f *Front) uploading(r requestBody, first []byte) *message {
+	m := newMessage(&f.buffers, r.Method, r.target, r.Host, r.Header, r.length)
+	m.up = &upload{k: r.k, body: r.Body, first: first, length: r.length, done: make(chan struct{})}
+	return m
+}
