Keep the place of a request that is slow but comes on, when a crowd needs room

Cause: clients.spare took a request that had been coming for over 1 s for one that can go, however it came on; a client may take 2 s for a head. Change: what counts is how long no byte of it has come. TestSilentCrowd fails without it.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -18,7 +18,8 @@
 // One that sends at once is read by then, or has bytes waiting to be.
 const patience = 100 * time.Millisecond
 
-// slowness is how long a request may take to come, once room is needed.
+// slowness is how long a request may stand still on its way, once room is
+// needed. One that comes on is never ended for being slow.
 const slowness = time.Second
 
 // mostLooks bounds how many connections are looked at for one that can end.
@@ -39,7 +40,7 @@
 // clients bounds the client connections and closes them at need. When they are
 // as many as may be, one makes room: first one that has never said anything,
 // then the one idle for the longest, which costs its client a new connection at
-// most, then one whose request is slow to come. If there is none, a few more
+// most, then one whose request stands still. If there is none, a few more
 // are taken for a quick reject, since what a client has sent on a connection in
 // the listener's queue counts as taken too; beyond that, new ones wait.
 //
@@ -142,8 +143,8 @@
 		return "evicted", k
 	}
 	for o := range c.open { // the longest, so that which one it is does not hang on chance
-		if o.active && !o.whole && !o.gone && now.Sub(o.since) >= slowness &&
-			(k == nil || o.since.Before(k.since)) && !unread(o.Conn) {
+		if o.active && !o.whole && !o.gone && now.Sub(o.moved) >= slowness &&
+			(k == nil || o.moved.Before(k.moved)) && !unread(o.Conn) {
 			k = o
 		}
 	}
@@ -332,6 +333,7 @@
 	list    *list.List // the one of all's that it stands in; nil: none
 	place   *list.Element
 	since   time.Time // when it was accepted, or its request's first byte was read
+	moved   time.Time // when bytes were last read
 	active  bool      // a byte of an unanswered request has been read
 	whole   bool      // that request has been read whole
 	next    bool      // a byte of the one after it has been read
@@ -374,6 +376,7 @@
 // hasRead notes that n bytes were read. The lock is held.
 func (k *clientConn) hasRead(n int) {
 	k.begin()
+	k.moved = time.Now()
 	k.next = k.next || k.whole
 	k.framing.read(k.buf[:n])
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -948,6 +948,15 @@
 		}
 		c.mu.Unlock()
 	}
+	coming := accept("e") // one that began long ago and comes on is not ended for being slow
+	coming.Read(make([]byte, 1))
+	c.mu.Lock()
+	coming.since = fresh.Add(-time.Hour)
+	if reason, _ := c.spare(time.Now()); reason != "" {
+		t.Errorf("%q, and its request comes on", reason)
+	}
+	c.mu.Unlock()
+	coming.Close()
 	// a full house of silent ones must not stop Accept
 	for range 4 + overflow {
 		accept("")
