Give a successor what warm servers were learnt to carry

Cause: a successor's cold budget began at nothing (brain.measure, carried 0 for the first 3 s), seen in the probing lines: cold servers got no try in the 3 s after an upgrade. Change: Balancer.Carried goes over in the hand-over's last message and starts the next Balancer by Settings.Carried.

--- a/brain/api.go
+++ b/brain/api.go
@@ -105,6 +105,8 @@
 	SecondCopies   bool
 	RetryAfter     bool
 	MaxRetryAfter  time.Duration
+	// Carried is what the process before this one had learnt that warm servers carry, as its Balancer tells it.
+	Carried float64
 }
 
 // State is what the list says of a server.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,7 +43,7 @@
 		set: set.bounded(), host: host, now: now, started: now, rng: seed ^ 0x9e3779b97f4a7c15,
 		dirty: true, built: -1,
 		byID: map[ServerID]*server{}, open: map[RequestID]*request{},
-		carryAt: now, askAt: now, retries: 3,
+		carryAt: now, askAt: now, retries: 3, carried: set.Carried,
 	}
 	anew := standing{rest: 1}
 	for _, c := range set.Classes {
--- /dev/null
+++ b/cmd/olivebridge/crowd_test.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestCrowd: clients that connect and say nothing, or stop half way, many times
+// as many as the node has descriptors, keep neither operators nor clients out,
+// and a request that comes on slowly is not thrown out among them.
+func TestCrowd(t *testing.T) {
+	door := freeAddr(t)
+	t.Setenv("ROUTER_ADMIN", door)
+	half := strings.Replace(config, `"sockets":256`, `"sockets":128`, 1)
+	n := startAs(t, half, unchanged, func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+	slow := make(chan string)
+	go func() {
+		c, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			slow <- err.Error()
+			return
+		}
+		defer c.Close()
+		raw := "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Id: slow\r\nX-Call-Class: book\r\nX-Caller: acme\r\nX-Budget: 1.5\r\nContent-Length: 4\r\nConnection: close\r\n\r\npaid"
+		for len(raw) > 0 { // two seconds in all
+			k := min(len(raw), 8)
+			io.WriteString(c, raw[:k])
+			raw = raw[k:]
+			time.Sleep(100 * time.Millisecond)
+		}
+		got, _ := io.ReadAll(c)
+		slow <- string(got)
+	}()
+	var crowd []net.Conn
+	defer func() {
+		for _, c := range crowd {
+			c.Close()
+		}
+	}()
+	worst := time.Duration(0)
+	for i := range 1500 {
+		c, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if crowd = append(crowd, c); i%2 == 0 {
+			io.WriteString(c, "POST /api HT")
+		}
+		if holder, err := net.Dial("tcp", door); err == nil && i%10 == 0 {
+			io.WriteString(holder, "STA")
+			crowd = append(crowd, holder)
+		} else if err == nil {
+			holder.Close()
+		}
+		if i%50 == 0 {
+			begun := time.Now()
+			must(t, door, "STATUS")
+			worst = max(worst, time.Since(begun))
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	if worst > time.Second {
+		t.Errorf("an answer at the door took %v", worst)
+	}
+	if got := <-slow; !strings.HasPrefix(got, "HTTP/1.1 200") {
+		t.Errorf("the slow request in the crowd: %.80q", got)
+	}
+	if status, _ := n.ask(t, "GET", fmt.Sprint("/api?user=", 1), "status", ""); status != 200 {
+		t.Errorf("a call behind the crowd: %d", status)
+	}
+}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -41,7 +41,8 @@
 	Version int64                `json:"version,omitempty"` // of the list that they are of
 	Source  string               `json:"source,omitempty"`  // discovery's address, where versions are its own
 	Paused  bool                 `json:"paused,omitempty"`
-	Number  uint64               `json:"number,omitempty"` // of a call
+	Carried float64              `json:"carried,omitempty"` // see brain.Settings
+	Number  uint64               `json:"number,omitempty"`  // of a call
 	Word    string               `json:"word,omitempty"`
 	ID      string               `json:"id,omitempty"`
 	Fault   string               `json:"fault,omitempty"` // of Done: why the call does not hold
@@ -53,6 +54,7 @@
 	Version int64
 	Source  string
 	Paused  bool
+	Carried float64
 }
 
 // Messages are those that bring a heritage, the listener's last.
@@ -62,7 +64,7 @@
 		all = append(all, Message{Kind: State, Servers: rest[:n]})
 		rest = rest[n:]
 	}
-	return append(all, Message{Kind: Serve, Version: h.Version, Source: h.Source, Paused: h.Paused})
+	return append(all, Message{Kind: Serve, Version: h.Version, Source: h.Source, Paused: h.Paused, Carried: h.Carried})
 }
 
 // take adds a message to a heritage, and reports whether it was the last.
@@ -72,7 +74,7 @@
 		h.Servers = append(h.Servers, m.Servers...)
 		return false, nil
 	case Serve:
-		h.Version, h.Source, h.Paused = m.Version, m.Source, m.Paused
+		h.Version, h.Source, h.Paused, h.Carried = m.Version, m.Source, m.Paused, m.Carried
 		return true, nil
 	}
 	return false, fmt.Errorf("hand-over: %q where the heritage was to come", m.Kind)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -1,15 +1,20 @@
 package node
 
 import (
+	"context"
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"olivebridge/internal/admin"
 	"olivebridge/internal/handover"
 	"olivebridge/internal/routing"
 )
 
+// heritageTimeout is how long the decisions may take to tell a successor what they have learnt.
+const heritageTimeout = 300 * time.Millisecond
+
 // company are the other processes of this node: the one before it, and its
 // successor, each for as long as it lives.
 type company struct {
@@ -62,6 +67,7 @@
 		}
 	}
 	n.heirPaused = h.Paused
+	n.config.Settings.Carried = h.Carried
 	n.log.Info("taking over", "servers", len(h.Servers), "version", n.config.KnownVersion, "paused", h.Paused)
 	return listener
 }
@@ -118,6 +124,11 @@
 	var h handover.Heritage
 	h.Servers, h.Version = n.servers.Export()
 	h.Paused = n.front.Paused()
+	ctx, stop := context.WithTimeout(context.Background(), heritageTimeout)
+	defer stop()
+	if learnt, err := n.router.Rest(ctx); err == nil { // else the successor learns it anew
+		h.Carried = learnt.Carried
+	}
 	n.mu.Lock()
 	h.Source = n.config.Discovery
 	n.mu.Unlock()
--- a/internal/routing/rest.go
+++ b/internal/routing/rest.go
@@ -14,6 +14,8 @@
 	Peers  int
 	Timers int
 	Watch  bool // one runs
+	// Carried is what the Balancer has learnt that warm peers carry; for a successor.
+	Carried float64
 }
 
 // errStopped says that the decisions have ended.
@@ -24,7 +26,7 @@
 
 func (e restEvent) handle(r *Router) {
 	s := Rest{Calls: len(r.open), Names: len(r.names), Peers: len(r.peers), Timers: len(r.timers),
-		Watch: r.watch != nil}
+		Watch: r.watch != nil, Carried: r.brain.Carried()}
 	for _, c := range r.open {
 		s.Tries += c.out
 	}
