Send cold servers all that warm ones carry by their warmth, and serve whole requests in a crowd

Their budget was five eighths of what warm ones carry, which itself began at half of its first figure and rose by 3 in 100 in 3 s (brain.measure, coldPart, carryRise). Ruled out: health, press, the in-flight limits (idle). Change: what servers carry is believed at its first figure and half of each rise; coldPart is 2/5 of the multiple of 2.5, so a cold server may be sent its warmth's share. Crowd: front's crowded counted connections that had stopped half way and refused whole requests among them; it counts calls now, and who stands still for longest goes after 0.3 s (1 s). TestCrowd fails without either.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,7 +29,7 @@
 	retryShare, copyShare                           = 0.15, 4.0                // a request; see second
 	firstLimit, leastLimit                          = 4, 1.5                   // in flight: new, the largest
 	calm, zoneRoom, zoneWorth                       = 0.2, 1.2, 0.1            // see learn, and build
-	shedLater, shedMost, coldPart, carryRise        = 0.05, 0.35, 1.0 / 4, 0.1 // see Request, coldRoom
+	shedLater, shedMost, coldPart, carryRise        = 0.05, 0.35, 2.0 / 5, 0.5 // see Request, coldRoom
 	logLines, tableSize, weightSteps                = 20, 2039, 64             // at once; a prime; see weigh
 	tickRef, copyRef                         uint64 = 1, 2                     // copyRef: and on
 )
@@ -860,7 +860,7 @@
 	if size > 0 {
 		v := done / size / d.Seconds()
 		if b.carried == 0 {
-			b.carried = v / 2
+			b.carried = v
 		}
 		v = min(v, b.carried+carryRise*(v-b.carried)) // a rush of warm keys is not believed at once
 		b.carried += 0.3 * (v - b.carried)
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -19,8 +19,9 @@
 const patience = 100 * time.Millisecond
 
 // slowness is how long a request may stand still on its way, once room is
-// needed. One that comes on is never ended for being slow.
-const slowness = time.Second
+// needed. The one that has stood still for the longest goes, so that one that
+// comes on in pieces is the last of a crowd that has stopped half way.
+const slowness = 300 * time.Millisecond
 
 // mostLooks bounds how many connections are looked at for one that can end.
 const mostLooks = 16
@@ -186,11 +187,21 @@
 	}
 }
 
-// crowded reports whether calls must be turned away to keep the bound.
+// crowded reports whether calls must be turned away to keep the bound. Those
+// that have stopped half way make no crowd: a whole request among them is served.
 func (c *clients) crowded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open) > c.max
+	if len(c.open) <= c.max {
+		return false
+	}
+	calls := 0
+	for k := range c.open {
+		if k.active && k.whole {
+			calls++
+		}
+	}
+	return calls > c.max
 }
 
 // leaves reports whether the node closes client connections by now.
