Let a key whose zone is full take other zones' room as at its first spill

Cause: brain.pick halves a key's share of a server at each of twelve steps; after six in the zone it was 1/64, so a server of another zone took it only while it held nothing. With one node emptied, its zone's servers stood idle beside 16 to 29 refusals in 100. Change: at the first step out of the zone the share is that of a first spill.

--- a/brain/api.go
+++ b/brain/api.go
@@ -105,7 +105,7 @@
 	SecondCopies   bool
 	RetryAfter     bool
 	MaxRetryAfter  time.Duration
-	// Carried is what the process before this one had learnt that warm servers carry, as its Balancer tells it.
+	// Carried is what the node's process before this one had learnt that warm servers carry.
 	Carried float64
 }
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -183,14 +183,12 @@
 	if !b.full {
 		return nil
 	}
-	// A key is cold where it spills to, so a server takes others' keys only while it has room to spare. A
-	// further attempt may be bound to a group that none of the first entries is in, and looks at more.
-	h, share, tries := b.entry(r), r.share, spill
+	// A key is cold where it spills to: a server takes others' keys only while it has room to spare.
+	h, share, tries, spare := b.entry(r), r.share, spill, (*server)(nil)
 	near := r.n == 0 && float64(h>>40)/(1<<24) < b.keep
 	if r.n > 0 {
-		tries = groupTries
+		tries = groupTries // it may be bound to a group that none of the first entries is in
 	}
-	var spare *server
 	for i := range tries {
 		if i == nearSpill && near && spare != nil {
 			break // a server of the zone that is sent more than its part beats a crossing
@@ -207,7 +205,9 @@
 				spare = s
 			}
 		}
-		if h = mix(h); i < spill {
+		if h = mix(h); near && i == nearSpill-1 {
+			share = r.share * spillRoom // the other zones' servers may stand idle, their node empty
+		} else if i < spill {
 			share *= spillRoom
 		}
 	}
@@ -562,8 +562,8 @@
 }
 
 // witness lets an outcome of real work step the server's counter as a probe's result does. A failure counts
-// only as far as its class and tenant go well elsewhere. Probes that pass where work fails are passed over for
-// a pause that doubles until an answer comes: servers may fail, hang or lose work behind good probes.
+// only as far as its class and tenant go well elsewhere. Probes that pass where work fails are passed over
+// for a pause that doubles until an answer comes: servers may fail, hang or lose work behind good probes.
 func (b *Balancer) witness(a *attempt, r *request, good bool) {
 	s := a.to
 	if good {
