--- a/internal/lab/world/client/edits.go
+++ b/internal/lab/world/client/edits.go
@@ -152,7 +152,7 @@
 }
 
 func oddTarget(h *head, d *draft) {
-	h.target = d.one(h.target[1:], "/"+h.target, "http://api.internal"+h.target, "*", "api.internal:80",
+	h.target = d.one(h.target[1:], "/"+h.target, "http://api.internal/"+h.target, "*", "api.internal:80",
 		"?user="+d.id, "\\api", "")
 }
 
