--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -35,7 +35,11 @@
 	// watchSlack is how much later than its wait an answer may come at all.
 	watchSlack = time.Second
 	// watchAgain is how many calls may follow one that brings nothing before the watch ends.
-	watchAgain = 5
+	watchAgain = 12
+	// watchSpread is the pause before a broken call is made once more, from the second in a row on; it
+	// doubles up to watchLate. Calls that all break in one moment of trouble would end the watch, and what
+	// discovery tells meanwhile counts as told.
+	watchSpread = 25 * time.Millisecond
 	// maxList bounds a list's bytes.
 	maxList = 8 << 20
 )
@@ -122,7 +126,7 @@
 	came := make(chan outcome, w.again+1)
 	next := time.NewTimer(0)
 	defer next.Stop()
-	begun, out, since := 0, 0, w.version
+	begun, out, since, pause := 0, 0, w.version, time.Duration(0)
 	for {
 		select {
 		case <-next.C:
@@ -148,7 +152,8 @@
 			case errors.Is(err, errRefused):
 				next.Reset(w.late)
 			default:
-				next.Reset(0)
+				next.Reset(pause)
+				pause = min(max(2*pause, watchSpread), w.late)
 			}
 		}
 	}
