--- a/internal/transport/message.go
+++ b/internal/transport/message.go
@@ -210,10 +210,16 @@
 
 // readBody reads the body that a message's head announces. Room was made once:
 // growing buffers of many calls at a time would take much of a small machine's memory.
-func (m *message) readBody(r io.Reader) error {
-	body := m.body
-	if _, err := io.ReadFull(r, body); err != nil {
-		return err
+func (m *message) readBody(r io.Reader, k *clientConn) error {
+	for got := 0; got < len(m.body); {
+		n, err := r.Read(m.body[got:])
+		if got += n; got == len(m.body) {
+			break
+		}
+		if err != nil {
+			return unexpected(err)
+		}
+		k.pace(int64(got))
 	}
 	_, err := r.Read(m.room[:1]) // the end of the body frees its connection
 	if err == io.EOF {
--- a/internal/transport/upload.go
+++ b/internal/transport/upload.go
@@ -238,7 +238,7 @@
 	case r.length >= 0:
 		m := newMessage(&f.buffers, r.Method, r.target, r.Host, r.Header, r.length)
 		if r.length > 0 {
-			return m, m.readBody(&paced{r: r.Body, k: r.k})
+			return m, m.readBody(r.Body, r.k)
 		}
 		return m, nil
 	}
