--- a/internal/transport/message.go
+++ b/internal/transport/message.go
@@ -211,9 +211,10 @@
 // readBody reads the body that a message's head announces. Room was made once:
 // growing buffers of many calls at a time would take much of a small machine's memory.
 func (m *message) readBody(r io.Reader, k *clientConn) error {
-	for got := 0; got < len(m.body); {
-		n, err := r.Read(m.body[got:])
-		if got += n; got == len(m.body) {
+	body := m.body
+	for got := 0; got < len(body); {
+		n, err := r.Read(body[got:])
+		if got += n; got == len(body) {
 			break
 		}
 		if err != nil {
