--- a/internal/transport/buffers.go
+++ b/internal/transport/buffers.go
@@ -12,6 +12,7 @@
 type buffer struct {
 	b    []byte // as many as were asked for, or more
 	size int    // its place in sizes; -1: too large to be kept
+	home *buffers
 }
 
 // Of the smallest buffer, and beyond the power of two of each.
@@ -27,10 +28,10 @@
 			if b, ok := p.sizes[i].Get().(*buffer); ok {
 				return b
 			}
-			return &buffer{make([]byte, room), i}
+			return &buffer{make([]byte, room), i, p}
 		}
 	}
-	return &buffer{make([]byte, n), -1}
+	return &buffer{make([]byte, n), -1, p}
 }
 
 // give takes a buffer back from its owner.
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -171,7 +171,7 @@
 	default:
 		k.keep(c)
 	}
-	p := &reply{fields: a.endToEnd(), body: a.body, buf: a.buf, home: &k.buffers}
+	p := &reply{fields: a.endToEnd(), body: a.body, buf: a.buf}
 	if res != brain.OK {
 		p.free()
 		return routing.TryResult{Result: res}
--- a/internal/transport/message.go
+++ b/internal/transport/message.go
@@ -146,8 +146,7 @@
 	body   []byte
 	length [1]string // of body, for the client's head
 	buf    *buffer   // that body stands in; nil: none
-	home   *buffers
-	rest   *rest // nil: body is all of it
+	rest   *rest     // nil: body is all of it
 }
 
 // putInto puts the answer's fields into a header, which refers to them from then on.
@@ -174,7 +173,7 @@
 // free gives the buffer back; the body must not be used any more.
 func (p *reply) free() {
 	if p.buf != nil {
-		p.home.give(p.buf)
+		p.buf.home.give(p.buf)
 		p.buf, p.body = nil, nil
 	}
 }
