Say no where a call is not known to hold in both processes, and close four gaps of the hand-over

It says FAILURE now, unless that process has ended; a server that only one of the two has seen listed counts as listed. - A successor told another address, or of another user's making, took over the clients' listener all the same; the socket stood in a shared directory where $TMPDIR was not set, open to all. It is refused, and has mode 0600. - With a successor that hangs each idle connection waited 0.5 s at the planned end; the first failure counts for all. - A seat taken while the process ended was left behind. - An early answer to a body found too long kept its peer's connection; a peer that answered a long body in chunks and stalled was waited for beyond the call's time (gather went by Try.Until, which does not count there). Simpler: one body for SUSPEND and RESTORE, no constants that rename results, limits set once.

--- a/cmd/olivebridge/main.go
+++ b/cmd/olivebridge/main.go
@@ -33,7 +33,6 @@
 	if err != nil {
 		return err
 	}
-	setLimits(c, 1)
 	signal.Ignore(syscall.SIGPIPE) // or a log reader that goes away would take the node with it
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
@@ -94,10 +93,11 @@
 // seat is where two processes of one node find each other during an upgrade. The
 // directory is the node's own, and both have the same.
 func seat(c *protocol.Config) string {
-	if c.Admin == "" {
+	dir := os.Getenv("TMPDIR") // not a directory that all users share
+	if c.Admin == "" || dir == "" {
 		return ""
 	}
-	return filepath.Join(os.TempDir(), "olivebridge-"+url.PathEscape(c.Name)+".sock")
+	return filepath.Join(dir, "olivebridge-"+url.PathEscape(c.Name)+".sock")
 }
 
 // listener listens where clients connect, or operators. With a door a process
--- a/cmd/olivebridge/upgrade_test.go
+++ b/cmd/olivebridge/upgrade_test.go
@@ -109,8 +109,13 @@
 				t.Fatalf("%+v, %v", h, err)
 			}
 			l.Close()
+			begun := time.Now() // it does not say that the ban holds there: a yes would be false
+			if got := call(t, door, "SUSPEND s-1"); !strings.HasPrefix(got, "FAILURE it holds in this process alone") || time.Since(begun) > time.Second {
+				t.Errorf("beside a process that hangs: %q after %v", got, time.Since(begun))
+			}
 			link.Close()
 			n.until(t, "other process has ended")
+			must(t, door, "SUSPEND s-1")
 		}
 		for some := served.Load() + 200; served.Load() < some; {
 			time.Sleep(time.Millisecond)
@@ -133,3 +138,20 @@
 	}
 	must(t, door, "RESTORE s-1")
 }
+
+// TestOtherAddress: a process of the same name that is told another address is
+// no successor. It must not take clients where nobody sent it.
+func TestOtherAddress(t *testing.T) {
+	t.Setenv("ROUTER_ADMIN", freeAddr(t))
+	n := start(t, unchanged, func(http.ResponseWriter, *http.Request) {})
+	other := &process{config: n.config, env: append(n.env[:len(n.env):len(n.env)], "ROUTER_ADMIN="+freeAddr(t), "ROUTER_LISTEN="+freeAddr(t))}
+	other.launch(t)
+	if other.addr == n.addr {
+		t.Error("it serves at the address of the process in service")
+	}
+	other.end(t)
+	n.until(t, "other process has ended")
+	if status, _ := n.ask(t, "GET", "/api", "status", ""); status != 200 {
+		t.Errorf("status %d", status)
+	}
+}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -17,7 +17,7 @@
 	// sendTimeout is how long a message may wait for the other process to read.
 	sendTimeout = 500 * time.Millisecond
 	// callTimeout is how long an operator's call waits for the other process: answers are owed in 1 s.
-	callTimeout = 400 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
 	// maxPath is the longest path of a Unix socket.
 	maxPath = 107
 )
@@ -31,9 +31,17 @@
 	mu    sync.Mutex
 	calls map[uint64]chan string // that wait for Done
 	last  uint64
+
+	once  sync.Once
+	ended chan struct{} // closed with the link
 }
 
-func newLink(conn *net.UnixConn) *Link { return &Link{conn: conn, calls: map[uint64]chan string{}} }
+// ErrEnded says that there is no other process any more.
+var ErrEnded = errors.New("hand-over: the node's other process has ended")
+
+func newLink(conn *net.UnixConn) *Link {
+	return &Link{conn: conn, calls: map[uint64]chan string{}, ended: make(chan struct{})}
+}
 
 // address makes a path fit into a socket's address; close what it returns after use.
 func address(path string) (*net.UnixAddr, func(), error) {
@@ -57,6 +65,9 @@
 		return nil, Heritage{}, nil, err
 	}
 	defer done()
+	if err := ours(path); err != nil {
+		return nil, Heritage{}, nil, err
+	}
 	conn, err := net.DialUnix("unixpacket", nil, addr)
 	switch {
 	case errors.Is(err, syscall.ENOENT), errors.Is(err, syscall.ECONNREFUSED): // what a dead process left
@@ -97,8 +108,26 @@
 	return h, listener, nil
 }
 
+// ours refuses another user's socket: what it gives would be served as the node's own.
+func ours(path string) error {
+	info, err := os.Lstat(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("hand-over: %w", err)
+	}
+	if s, ok := info.Sys().(*syscall.Stat_t); !ok || int(s.Uid) != os.Getuid() {
+		return fmt.Errorf("hand-over: %s is another user's", path)
+	}
+	return nil
+}
+
 // Close ends the link; Receive ends with an error at both sides.
-func (l *Link) Close() { l.conn.Close() }
+func (l *Link) Close() {
+	l.once.Do(func() { close(l.ended) })
+	l.conn.Close()
+}
 
 // Send sends a message, and with it a descriptor unless that is nil. The sender keeps its own.
 func (l *Link) Send(m Message, with syscall.Conn) error {
@@ -155,7 +184,8 @@
 	return os.NewFile(uintptr(fds[0]), "handed over"), nil
 }
 
-// Ask has the other process do what a message says, and waits until that holds there.
+// Ask has the other process do what a message says, and waits until that holds
+// there; with ErrEnded nobody is left for whom it would have to.
 func (l *Link) Ask(m Message) error {
 	done := make(chan string, 1)
 	l.mu.Lock()
@@ -169,7 +199,10 @@
 		delete(l.calls, number)
 	}()
 	m.Number = number
-	if err := l.Send(m, nil); err != nil {
+	switch err := l.Send(m, nil); {
+	case errors.Is(err, syscall.EPIPE), errors.Is(err, net.ErrClosed):
+		return ErrEnded
+	case err != nil:
 		return fmt.Errorf("hand-over: %w", err)
 	}
 	select {
@@ -178,6 +211,8 @@
 			return fmt.Errorf("the node's other process: %s", fault)
 		}
 		return nil
+	case <-l.ended:
+		return ErrEnded
 	case <-time.After(callTimeout):
 		return errors.New("hand-over: the node's other process does not answer")
 	}
@@ -211,6 +246,10 @@
 		return nil, fmt.Errorf("hand-over: %w", err)
 	}
 	l.SetUnlinkOnClose(false) // by then the path may be the successor's
+	if err := os.Chmod(path, 0o600); err != nil {
+		l.Close()
+		return nil, fmt.Errorf("hand-over: %w", err)
+	}
 	return &Seat{l}, nil
 }
 
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -116,7 +116,12 @@
 }
 
 // Suspend keeps a server out of use from its return on. Said again it changes nothing.
-func (r *Register) Suspend(name string, now brain.Time) error {
+func (r *Register) Suspend(name string, now brain.Time) error { return r.set(name, true, now) }
+
+// Restore puts a server back, however often it was suspended.
+func (r *Register) Restore(name string, now brain.Time) error { return r.set(name, false, now) }
+
+func (r *Register) set(name string, banned bool, now brain.Time) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.servers[name]
@@ -124,25 +129,20 @@
 		return UnknownError(name)
 	}
 	r.touch(e)
-	if !e.ban.on.Swap(true) {
+	switch was := e.ban.on.Swap(banned); {
+	case banned && !was:
 		e.since = now
+	case was && !banned && e.said.Born <= e.since:
+		e.notBefore = now
 	}
 	return nil
 }
 
-// Restore puts a server back, however often it was suspended.
-func (r *Register) Restore(name string, now brain.Time) error {
+// Know takes a server for listed, as another process of the node has seen it.
+func (r *Register) Know(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.servers[name]
-	if e == nil {
-		return UnknownError(name)
-	}
-	r.touch(e)
-	if e.ban.on.Swap(false) && e.said.Born <= e.since {
-		e.notBefore = now
-	}
-	return nil
+	r.of(name)
 }
 
 // Shown is what the decisions are to be shown of a server that was once listed.
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,16 +46,21 @@
 
 // inherit takes over from the process in service, if there is one. Whatever
 // fails there is logged, and the node starts as if it were alone.
-func (n *Node) inherit() (listener net.Listener) {
+func (n *Node) inherit() (listener net.Listener, paused bool) {
 	if n.parts.Seat == "" || n.servers == nil {
-		return nil
+		return nil, false
 	}
 	link, h, listener, err := handover.Join(n.parts.Seat)
+	if err == nil && link != nil && !serves(listener, n.config.Listen) {
+		err = fmt.Errorf("the process in service listens on %s, and this one is told %s", listener.Addr(), n.config.Listen)
+		listener.Close()
+		link.Close()
+	}
 	if err != nil {
 		n.log.Warn("hand-over failed", "reason", err.Error())
 	}
-	if link == nil {
-		return nil
+	if link == nil || err != nil {
+		return nil, false
 	}
 	n.company.before = link
 	n.servers.Import(h.Servers)
@@ -66,10 +74,16 @@
 			n.config.KnownVersion = h.Version
 		}
 	}
-	n.heirPaused = h.Paused
 	n.config.Settings.Carried = h.Carried
 	n.log.Info("taking over", "servers", len(h.Servers), "version", n.config.KnownVersion, "paused", h.Paused)
-	return listener
+	return listener, h.Paused
+}
+
+// serves reports whether a listener is on an address, of which port 0 is any.
+func serves(l net.Listener, addr string) bool {
+	want, err := net.ResolveTCPAddr("tcp", addr)
+	have, ok := l.Addr().(*net.TCPAddr)
+	return err == nil && ok && (want.Port == 0 || want.Port == have.Port && want.IP.Equal(have.IP))
 }
 
 // settle tells the process before this one that clients are served here, and
@@ -97,8 +111,12 @@
 	}
 	c := &n.company
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over { // it ended meanwhile, and waits for what runs
+		seat.Close()
+		return
+	}
 	c.seat = seat
-	c.mu.Unlock()
 	c.running.Go(func() {
 		for {
 			l, err := seat.Accept()
@@ -164,6 +182,9 @@
 			n.log.Info("successor takes clients")
 			l.Send(handover.Message{Kind: handover.Done, Number: m.Number}, nil)
 		case handover.Asked:
+			if m.ID != "" { // it was listed there, if not here
+				n.router.Know(m.ID)
+			}
 			_, err := n.apply(admin.Call{Word: m.Word, ID: m.ID}, l)
 			done := handover.Message{Kind: handover.Done, Number: m.Number}
 			if err != nil {
@@ -249,7 +270,8 @@
 }
 
 // apply does a call here, then in the processes but for the one it came from.
-// Where another does not answer the call holds here, and the caller is told.
+// Where another does not say that it holds there, too, the caller is told to
+// make the call again: a yes would be false.
 func (n *Node) apply(call admin.Call, from *handover.Link) (string, error) {
 	text, err := n.do(call)
 	if err != nil {
@@ -259,12 +281,13 @@
 	c.mu.Lock()
 	links := []*handover.Link{c.before, c.successor}
 	c.mu.Unlock()
-	for _, l := range links {
+	for _, l := range links { // a process has both only while a third one starts
 		if l == nil || l == from {
 			continue
 		}
-		if err := l.Ask(handover.Message{Kind: handover.Asked, Word: call.Word, ID: call.ID}); err != nil {
-			n.log.Warn("operator call", "call", call.Word, "server", call.ID, "reason", err.Error())
+		err := l.Ask(handover.Message{Kind: handover.Asked, Word: call.Word, ID: call.ID})
+		if err != nil && !errors.Is(err, handover.ErrEnded) {
+			return "", fmt.Errorf("it holds in this process alone, call again: %w", err)
 		}
 	}
 	return text, nil
@@ -282,9 +305,18 @@
 	}
 }
 
-// give hands a client connection on.
+// give hands client connections on, until one cannot be: each that waits for a
+// successor that hangs would wait in vain, and the others behind it.
 func give(l *handover.Link) func(syscall.Conn) error {
+	var failed atomic.Pointer[error]
 	return func(conn syscall.Conn) error {
-		return l.Send(handover.Message{Kind: handover.Conn}, conn)
+		if err := failed.Load(); err != nil {
+			return *err
+		}
+		err := l.Send(handover.Message{Kind: handover.Conn}, conn)
+		if err != nil {
+			failed.Store(&err)
+		}
+		return err
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,19 +33,18 @@
 
 // Node is a running instance.
 type Node struct {
-	parts      Parts
-	log        *slog.Logger
-	carrier    *transport.Carrier
-	router     *routing.Router
-	front      *transport.Front
-	servers    *maintenance.Register // nil without a door
-	door       *admin.Door           // nil: none
-	listener   net.Listener          // of clients
-	company    company
-	heirPaused bool               // the process before this one was
-	stop       context.CancelFunc // ends the decisions and all that they started
-	running    sync.WaitGroup     // front and decisions
-	failed     chan error
+	parts    Parts
+	log      *slog.Logger
+	carrier  *transport.Carrier
+	router   *routing.Router
+	front    *transport.Front
+	servers  *maintenance.Register // nil without a door
+	door     *admin.Door           // nil: none
+	listener net.Listener          // of clients
+	company  company
+	stop     context.CancelFunc // ends the decisions and all that they started
+	running  sync.WaitGroup     // front and decisions
+	failed   chan error
 
 	mu     sync.Mutex
 	config *protocol.Config
@@ -69,7 +68,7 @@
 			return nil, err
 		}
 	}
-	listener := n.inherit()
+	listener, paused := n.inherit()
 	if listener == nil {
 		var err error
 		if listener, err = listen(c.Listen); err != nil {
@@ -97,7 +96,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	n.run(func() error { return n.router.Run(ctx) })
-	if n.heirPaused {
+	if paused {
 		n.front.Pause()
 	}
 	n.run(n.front.ServeAdopted)
--- a/internal/routing/maintain.go
+++ b/internal/routing/maintain.go
@@ -31,20 +31,23 @@
 	}
 }
 
+// Know takes a peer for one that was once listed, as another process of the node has it.
+func (r *Router) Know(name string) { r.servers.Know(name) }
+
 // Suspend keeps a server out of use. No first byte of anything new leaves for it
 // once this has returned; the Balancer hears of it a little later, so that no
 // caller waits behind a full queue.
 func (r *Router) Suspend(name string) error {
-	if err := r.servers.Suspend(name, r.now()); err != nil {
-		return err
-	}
-	go r.post(maintainEvent{name})
-	return nil
+	return r.maintain(name, r.servers.Suspend)
 }
 
 // Restore puts a server back.
 func (r *Router) Restore(name string) error {
-	if err := r.servers.Restore(name, r.now()); err != nil {
+	return r.maintain(name, r.servers.Restore)
+}
+
+func (r *Router) maintain(name string, change func(string, brain.Time) error) error {
+	if err := change(name, r.now()); err != nil {
 		return err
 	}
 	go r.post(maintainEvent{name})
--- a/internal/transport/carrier.go
+++ b/internal/transport/carrier.go
@@ -81,11 +81,6 @@
 	return r.Result
 }
 
-// The results that more than one kind of try ends with.
-const (
-	moot, rejected, connectFailed = brain.Moot, brain.Rejected, brain.ConnectFailed
-)
-
 // keep puts a connection back that carries nothing, unless its request is still being sent.
 func (k *Carrier) keep(c *peerConn) {
 	if c.up != nil && !c.up.whole.Load() {
@@ -156,7 +151,7 @@
 	k.readers.Put(in)
 	switch {
 	case err != nil:
-		return routing.TryResult{Result: c.ended(err, causeOf(ctx, untilOf(t, c.up), time.Now()))}
+		return routing.TryResult{Result: c.ended(err, causeOf(ctx, c.deadline(t.Until), time.Now()))}
 	case a.rest != nil && res == brain.OK:
 		c.end("called-off")
 		return routing.TryResult{Result: brain.Cancelled}
@@ -184,7 +179,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return context.Cause(ctx)
-	case !now.Before(until):
+	case !until.IsZero() && !now.Before(until):
 		return routing.ErrTimeUp
 	}
 	return nil
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -208,6 +208,9 @@
 	up.k.SetWriteDeadline(time.Now().Add(writeTimeout)) // net/http counts from the request's head
 	switch {
 	case err == errTooLarge:
+		if d, ok := a.Reply.(routing.Dropper); ok { // it came ahead of the body's end
+			d.Drop()
+		}
 		f.refuse(w, http.StatusRequestEntityTooLarge, errors.New("body: too large"))
 		return
 	case err != nil && a.Verdict != routing.Served:
--- a/internal/transport/rest.go
+++ b/internal/transport/rest.go
@@ -113,18 +113,15 @@
 // short and comes soon.
 func gather(c *peerConn, in *bufio.Reader, body io.Reader, most int, until time.Time) (first []byte, whole bool, err error) {
 	hold := time.Now().Add(holdBack)
-	if hold.After(until) {
-		hold = until
-	}
 	for len(first) <= most {
-		if in.Buffered() == 0 {
+		if end := c.deadline(until); in.Buffered() == 0 && (end.IsZero() || hold.Before(end)) {
 			c.SetReadDeadline(hold)
 			_, err := in.Peek(1)
-			if errors.Is(err, os.ErrDeadlineExceeded) && hold.Before(until) {
+			c.SetReadDeadline(end)
+			if errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(hold) { // else it was interrupted
 				c.failed = nil // nothing was lost by it
 				return first, false, nil
 			}
-			c.SetReadDeadline(until)
 		}
 		if len(first) == cap(first) {
 			first = append(make([]byte, 0, max(2*cap(first), 512)), first...)
--- a/internal/transport/upload.go
+++ b/internal/transport/upload.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"olivebridge/brain"
 	"olivebridge/internal/protocol"
 	"olivebridge/internal/routing"
 )
@@ -196,7 +197,7 @@
 	u := m.up
 	if !u.begin() {
 		k.keep(c)
-		return routing.TryResult{Result: moot}
+		return routing.TryResult{Result: brain.Moot}
 	}
 	c.up = u
 	c.SetDeadline(time.Time{})
@@ -208,24 +209,25 @@
 	}()
 	res := k.receive(ctx, t, c, watch)
 	u.halt()
-	if res.Reply == nil && !u.whole.Load() && res.Result != rejected { // the last byte never left: it never ran
+	if res.Reply == nil && !u.whole.Load() && res.Result != brain.Rejected { // the last byte never left: it never ran
 		if u.refused != nil || ctx.Err() != nil {
-			return routing.TryResult{Result: moot}
+			return routing.TryResult{Result: brain.Moot}
 		}
-		return routing.TryResult{Result: connectFailed}
+		return routing.TryResult{Result: brain.ConnectFailed}
 	}
 	return res
 }
 
-// untilOf is when the answer to a try is given up.
-func untilOf(t routing.Try, u *upload) time.Time {
-	if u == nil {
-		return t.Until
+// deadline is when the answer to a try on a connection is given up, which is
+// until, but that a long body's counts from its last byte.
+func (c *peerConn) deadline(until time.Time) time.Time {
+	if c.up == nil {
+		return until
 	}
-	if at := u.until.Load(); at != 0 {
+	if at := c.up.until.Load(); at != 0 {
 		return time.Unix(0, at)
 	}
-	return time.Now().Add(time.Hour)
+	return time.Time{} // its pace is the client's, and watched there
 }
 
 // takeBody reads a body, or the first part of one that goes on as it comes.
