Play operators' calls in the lab, with a rule for each and planted faults that they find

Need: the issue asks that suspend, restore, pause and resume are faults in scripts, each with a rule that can fail. Design: two kinds, maintenance (suspended at every node, restarted meanwhile, put back) and pause; the judge hears of each call as a fact, and holds a node to suspended (nothing new, no grace), unused (in use again within 5 s) and paused (no yes, nothing idle after 4 s). Not taken: calls through the door's socket, whose parsing has its own tests.

--- a/internal/lab/fact/fact.go
+++ b/internal/lab/fact/fact.go
@@ -27,6 +27,9 @@
 	NodeStarted(node string, version int64)
 	NodeKilled(node string)
 	NodeTold(node, signal, discovery string)
+	// NodeOperated: an operator's call. SUSPEND and PAUSE hold once they were
+	// answered with a yes, RESTORE and RESUME as they are made.
+	NodeOperated(node, call, peer string)
 }
 
 // Nobody is a Witness that cares for nothing, to be embedded by those that care
@@ -56,3 +59,6 @@
 
 // NodeTold implements Witness.
 func (Nobody) NodeTold(string, string, string) {}
+
+// NodeOperated implements Witness.
+func (Nobody) NodeOperated(string, string, string) {}
--- a/internal/lab/fault/acts.go
+++ b/internal/lab/fault/acts.go
@@ -247,6 +247,37 @@
 	}
 }
 
+// operate makes an operator's call at each of some nodes that run.
+func (r *run) operate(nodes []string, call, peer string) {
+	for _, name := range nodes {
+		if n := r.target.Node(name); r.nodes[name].held == 0 && !n.Down() {
+			n.Operate(call, peer)
+		}
+	}
+}
+
+// maintenance restarts each peer in the middle of its suspension, for half of it.
+func (r *run) maintenance(f *Fault) {
+	var nodes []string
+	for _, n := range r.script.World.Nodes {
+		nodes = append(nodes, n.Name)
+	}
+	for _, name := range f.Peers {
+		r.operate(nodes, "SUSPEND", name)
+		r.loop.After(f.For.D()/4, func() {
+			if !r.over {
+				r.hold(r.peers[name], r.target.Peer(name), f.For.D()/2)
+			}
+		})
+		r.after(f.For.D(), func() { r.operate(nodes, "RESTORE", name) })
+	}
+}
+
+func (r *run) pause(f *Fault) {
+	r.operate(f.Nodes, "PAUSE", "")
+	r.after(f.For.D(), func() { r.operate(f.Nodes, "RESUME", "") })
+}
+
 func (r *run) nodeKill(f *Fault) {
 	for _, name := range f.Nodes {
 		r.hold(r.nodes[name], r.target.Node(name), f.For.D())
--- a/internal/lab/fault/draw_test.go
+++ b/internal/lab/fault/draw_test.go
@@ -33,7 +33,7 @@
 // A seed is a script for good: kept failures name seeds. Whoever changes what
 // is drawn changes this hash, knowingly.
 func TestDrawGolden(t *testing.T) {
-	const want = "b895a2bea241b9913719c7da4b5f969404eb2dd62639dca74bfa1701a9dd265c"
+	const want = "6b96361bf648c3ff1acf7febbdc7e0bd31817bafa84cb1abb7d5e2f8c5cad3d4"
 	sc, sum := scenario(t), sha256.New()
 	for seed := range uint64(20) {
 		sum.Write(written(t, Draw(seed, sc)))
--- a/internal/lab/fault/schedule_test.go
+++ b/internal/lab/fault/schedule_test.go
@@ -97,6 +97,11 @@
 	e.open--
 }
 
+func (e entity) Operate(call, peer string) {
+	e.say("%s %s %s", e.name, call, peer)
+	e.open--
+}
+
 func (e entity) Stall(d time.Duration) {
 	e.say("%s stall %v", e.name, d)
 	e.open--
--- a/internal/lab/fault/target.go
+++ b/internal/lab/fault/target.go
@@ -36,8 +36,9 @@
 	Start() // with its first configuration, but discovery as it is now
 	Kill()
 	Down() bool
-	Term()                // SIGTERM: it ends by itself, in its time
-	Hup(discovery string) // SIGHUP; empty: nothing has changed
+	Term()                     // SIGTERM: it ends by itself, in its time
+	Hup(discovery string)      // SIGHUP; empty: nothing has changed
+	Operate(call, peer string) // an operator's call; the run fails if it gets no yes
 }
 
 // Crowd is one crowd of clients.
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -151,6 +151,11 @@
 	}
 }
 
+// Operate implements fault.Node. Nodes on sockets have no door here yet.
+func (i *instance) Operate(call, peer string) {
+	i.run.fail("node %s: %s %s: operators' calls are played on the virtual clock alone", i.c.Name, call, peer)
+}
+
 // Hup implements fault.Node. The file names discovery as it is now.
 func (i *instance) Hup(string) {
 	c := i.live
--- a/internal/lab/rules/client.go
+++ b/internal/lab/rules/client.go
@@ -207,7 +207,9 @@
 	c.settle(r)
 	r.shut(j.now + instant)
 	switch {
-	case r.ready || r.bad:
+	case r.ready:
+		c.asReady(r, m)
+	case r.bad:
 	case m.status == 200 && !r.call.made(m.body):
 		j.breaks(Wrong, j.now, "%s: call %s is served with %d bytes that no peer made for it",
 			c.id, r.id, m.body.size)
--- a/internal/lab/rules/doc.go
+++ b/internal/lab/rules/doc.go
@@ -73,6 +73,18 @@
 	// Bad ("Bad clients"): what must not be served is not: no 2xx, no try, and
 	// within the time stated with it an error (4xx, 5xx) or a close.
 	Bad = "bad"
+	// Suspended ("Maintenance of servers"): from the yes to SUSPEND until the call
+	// back, or the node's end, the first byte of nothing leaves for that peer,
+	// probes included, whatever discovery says; there is no grace.
+	Suspended = "suspended"
+	// Unused ("Maintenance of servers"): a peer that a node used in the second
+	// before its suspension gets a try of some node within 5 s of the call back, where it
+	// runs, is listed as ready, and calls come.
+	Unused = "unused"
+	// Paused ("Draining a node"): from the yes to PAUSE until RESUME, a question
+	// that came after it is not told that the node is ready; 4 s after it no
+	// client connection is held idle.
+	Paused = "paused"
 	// Crash and Rest are judged by whoever plays the run: a node ends or panics;
 	// something is left over once the world has come to rest.
 	Crash = "crash"
@@ -81,5 +93,5 @@
 
 // Names are the rules' short names.
 func Names() []string {
-	return []string{Lost, Late, Twice, Wrong, Effect, Hidden, Drain, Cold, Bad, Crash, Rest}
+	return []string{Lost, Late, Twice, Wrong, Effect, Hidden, Drain, Cold, Bad, Suspended, Unused, Paused, Crash, Rest}
 }
--- a/internal/lab/rules/judge.go
+++ b/internal/lab/rules/judge.go
@@ -49,23 +49,27 @@
 	more   int
 	nodes  map[string]*node // by host
 	conns  map[string]*conn
-	gone   []ended            // connections and calls that are over, the first first
-	at     map[string]string  // peers by address
-	starts map[string]*start  // of peers, by name
-	sent   map[string][]*try  // written whole, and not yet met by a fact, by call
-	bad    map[string]badMark // of connections not met yet
-	book   book               // what discovery knows
+	gone   []ended                  // connections and calls that are over, the first first
+	at     map[string]string        // peers by address
+	starts map[string]*start        // of peers, by name
+	sent   map[string][]*try        // written whole, and not yet met by a fact, by call
+	bad    map[string]badMark       // of connections not met yet
+	book   book                     // what discovery knows
+	used   map[string]time.Duration // when peers were last tried, by any node
+	tries  int                      // so far
 }
 
 // node is one node; all but its name is of its present life.
 type node struct {
-	name  string
-	calls map[string]*call
-	conns map[*conn]struct{}
-	told  told
-	term  time.Duration // SIGTERM came; 0: it did not
-	life  int
-	alive bool // it has started, and was not killed
+	name   string
+	calls  map[string]*call
+	conns  map[*conn]struct{}
+	told   told
+	term   time.Duration // SIGTERM came; 0: it did not
+	life   int
+	alive  bool           // it has started, and was not killed
+	banned map[string]ban // peers that operators keep out of use
+	paused time.Duration  // since when operators have it emptied; 0: they have not
 }
 
 // New makes a Judge.
@@ -76,7 +80,7 @@
 	j := &Judge{
 		c: c, classes: map[string]*world.Class{}, nodes: map[string]*node{}, conns: map[string]*conn{},
 		at: map[string]string{}, starts: map[string]*start{}, sent: map[string][]*try{},
-		bad: map[string]badMark{}, book: newBook(),
+		bad: map[string]badMark{}, book: newBook(), used: map[string]time.Duration{},
 	}
 	for addr, name := range c.Peers {
 		j.at[addr] = name
@@ -99,7 +103,7 @@
 func (n *node) reset() {
 	*n = node{
 		name: n.name, life: n.life + 1,
-		calls: map[string]*call{}, conns: map[*conn]struct{}{}, told: newTold(),
+		calls: map[string]*call{}, conns: map[*conn]struct{}{}, told: newTold(), banned: map[string]ban{},
 	}
 }
 
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -169,12 +169,15 @@
 func noProbes(c *world.Contract)    { c.Probes = false }
 func droppedStay(c *world.Contract) { c.DroppedStay = true }
 
-// Each case that breaks a rule stands before the nearest that does not.
-var cases = []struct {
+// ruleCase is a scene, and the rule that it breaks; "": none.
+type ruleCase struct {
 	name, rule string // "": lawful
 	change     func(*world.Contract)
 	play       func(s *scene)
-}{
+}
+
+// Each case that breaks a rule stands before the nearest that does not.
+var cases = []ruleCase{
 	{"served", "", nil, func(s *scene) { s.serve("a", "quote"); s.serve("b", "book") }},
 
 	{"read, and closed", Lost, nil, func(s *scene) { s.ask("a", "quote"); s.end("a", true, "") }},
@@ -627,7 +630,7 @@
 
 func TestRules(t *testing.T) {
 	broken := map[string]bool{Crash: true, Rest: true}
-	for _, c := range cases {
+	for _, c := range slices.Concat(cases, operatorCases) {
 		t.Run(c.name, func(t *testing.T) {
 			s := newScene(c.change)
 			c.play(s)
--- a/internal/lab/rules/try.go
+++ b/internal/lab/rules/try.go
@@ -118,6 +118,7 @@
 func (c *peerConn) judge(t *try, m *message) {
 	j := c.j
 	j.idle(c.node)
+	j.suspended(c, t)
 	switch {
 	case m.ids == 0 && j.c.Contract.Probes && m.method == "GET" && m.target == probePath:
 		return
@@ -139,6 +140,7 @@
 	t.start0 = c.node.told.start(c.name)
 	c.count(t, k, r)
 	j.drained(c, t)
+	j.tries, j.used[c.name] = j.tries+1, t.begunAt
 	k.tries = append(k.tries, t)
 	j.sent[k.id] = append(j.sent[k.id], t)
 }
--- a/internal/lab/stage/build.go
+++ b/internal/lab/stage/build.go
@@ -139,6 +139,11 @@
 // NodeKilled implements fact.Witness.
 func (f facts) NodeKilled(node string) { f.each(func(w fact.Witness) { w.NodeKilled(node) }) }
 
+// NodeOperated implements fact.Witness.
+func (f facts) NodeOperated(node, call, peer string) {
+	f.each(func(w fact.Witness) { w.NodeOperated(node, call, peer) })
+}
+
 // NodeTold implements fact.Witness.
 func (f facts) NodeTold(node, signal, discovery string) {
 	f.each(func(w fact.Witness) { w.NodeTold(node, signal, discovery) })
--- a/internal/lab/stage/node.go
+++ b/internal/lab/stage/node.go
@@ -10,6 +10,7 @@
 	"net"
 	"time"
 
+	"olivebridge/internal/admin"
 	"olivebridge/internal/lab/figure"
 	"olivebridge/internal/lab/loop"
 	"olivebridge/internal/lab/nodefile"
@@ -129,9 +130,20 @@
 	return map[string]string{
 		protocol.EnvName: i.c.Name, protocol.EnvListen: i.c.Name + ":" + nodePort,
 		protocol.EnvDiscovery: i.run.script.World.Discovery.Addr, protocol.EnvConfig: "config.json",
+		protocol.EnvAdmin: i.door(),
 	}[name]
 }
 
+// door is where operators call; empty where the script has none of their calls.
+func (i *instance) door() string {
+	for _, f := range i.run.script.Faults {
+		if f.Kind == "maintenance" || f.Kind == "pause" {
+			return i.c.Name + ":9900"
+		}
+	}
+	return ""
+}
+
 // kill ends a life at once: the process is gone, and its connections with it.
 func (i *instance) kill() {
 	l := i.live
@@ -169,6 +181,28 @@
 	}()
 }
 
+// operate makes an operator's call. A node that runs says yes to each.
+func (i *instance) operate(call admin.Call) {
+	l := i.live
+	if l == nil || l.node == nil || l.leaving {
+		return
+	}
+	back := call.Word == admin.Restore || call.Word == admin.Resume
+	if back { // it holds while it is being said
+		i.run.facts.NodeOperated(i.c.Name, call.Word, call.ID)
+	}
+	if _, err := l.node.Do(call); err != nil {
+		i.run.fail("operators", "node %s: %s %s: %v", i.c.Name, call.Word, call.ID, err)
+		return
+	}
+	if call.Word == admin.Pause {
+		i.run.front.Leaving(i.c.Name) // which finds that it is not ready any more
+	}
+	if !back {
+		i.run.facts.NodeOperated(i.c.Name, call.Word, call.ID)
+	}
+}
+
 // reload is SIGHUP: the configuration file names discovery anew.
 func (i *instance) reload(discovery string) {
 	l := i.live
--- a/internal/lab/stage/target.go
+++ b/internal/lab/stage/target.go
@@ -1,6 +1,7 @@
 package stage
 
 import (
+	"olivebridge/internal/admin"
 	"olivebridge/internal/lab/fault"
 	"olivebridge/internal/lab/world"
 	"olivebridge/internal/lab/world/peer"
@@ -88,6 +89,9 @@
 // Term implements fault.Node.
 func (i *instance) Term() { i.term() }
 
+// Operate implements fault.Node.
+func (i *instance) Operate(call, peer string) { i.operate(admin.Call{Word: call, ID: peer}) }
+
 // Hup implements fault.Node.
 func (i *instance) Hup(discovery string) {
 	if discovery == "" {
--- a/internal/lab/stage/trace.go
+++ b/internal/lab/stage/trace.go
@@ -83,6 +83,11 @@
 // NodeKilled implements fact.Witness.
 func (t *trace) NodeKilled(node string) { t.note("fact node %s killed", node) }
 
+// NodeOperated implements fact.Witness.
+func (t *trace) NodeOperated(node, call, peer string) {
+	t.note("fact node %s operated %s %s", node, call, peer)
+}
+
 // NodeTold implements fact.Witness.
 func (t *trace) NodeTold(node, signal, discovery string) {
 	t.note("fact node %s told %s %s", node, signal, discovery)
--- a/internal/lab/stage/watch.go
+++ b/internal/lab/stage/watch.go
@@ -1,6 +1,7 @@
 package stage
 
 import (
+	"strings"
 	"time"
 
 	"olivebridge/internal/lab/sample"
@@ -87,5 +88,8 @@
 // NodeKilled implements fact.Witness.
 func (w *watch) NodeKilled(node string) { w.tell(node, "killed") }
 
+// NodeOperated implements fact.Witness.
+func (w *watch) NodeOperated(node, call, peer string) { w.tell(node, strings.TrimSpace(call+" "+peer)) }
+
 // NodeTold implements fact.Witness.
 func (w *watch) NodeTold(node, signal, _ string) { w.tell(node, "told "+signal) }
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -19,6 +19,11 @@
 	if n == nil {
 		return "", errors.New("the node is starting")
 	}
+	return n.Do(c)
+}
+
+// Do carries an operator's call out, in all processes of the node.
+func (n *Node) Do(c admin.Call) (string, error) {
 	if c.Word == admin.Status {
 		return n.status()
 	}
