--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -26,6 +26,7 @@
 	user   string
 	budget time.Duration
 	body   []byte // nil: GET
+	key    string // Idempotency-Key; "": none
 }
 
 func newRequest(class, user string, budget time.Duration, body []byte) request {
@@ -38,6 +39,9 @@
 	if r.body != nil {
 		method, length = "POST", fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
 	}
+	if r.key != "" {
+		length += fmt.Sprintf("Idempotency-Key: \"%s\"\r\n", r.key)
+	}
 	head := fmt.Sprintf("%s /api?user=%s HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: %s\r\nX-Call-Class: %s\r\n"+
 		"X-Caller: ashby-dental\r\nX-Budget: %.3f\r\n%s\r\n", method, r.user, r.id, r.class, r.budget.Seconds(), length)
 	return append([]byte(head), r.body...)
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -279,20 +279,10 @@
 	if err := os.MkdirAll(filepath.Join(n.dir, "tmp"), 0o700); err != nil {
 		return nil, err
 	}
-	config := map[string]any{
-		"name": name, "listen": addr, "discovery": p.registry, "seed": fmt.Sprintf("%016x", 0x8c1f30d27a5be964+uint64(number)),
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": limits.memoryMB, "sockets": limits.sockets},
-		"known":    list{Version: 0, Full: true, Servers: p.entries},
-		"settings": settings(nodes),
-	}
-	data, err := json.Marshal(config)
-	if err != nil {
+	if err := p.writeConfig(n, number, nodes, limits, settings(nodes)); err != nil {
 		return nil, err
 	}
 	path := filepath.Join(n.dir, "config.json")
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		return nil, err
-	}
 	n.env = append(os.Environ(), "ROUTER_NAME="+name, "ROUTER_LISTEN="+addr, "ROUTER_DISCOVERY="+p.registry,
 		"ROUTER_CONFIG="+path, "TMPDIR="+filepath.Join(n.dir, "tmp"))
 	if limits.operators {
