Ask the node's other process whether an id is open during an upgrade

Cause: each process answered "is this id open?" from its own call table, while both accept clients from one socket.

Change: a process claims each call from its predecessor before the first attempt, so the oldest process knows all open calls and decides alone; it reports its own calls to its successor, which keeps those that must not run twice if it dies. A wait is a quarter of the call's timeout, 0.4 s at most; without an answer only what may run twice runs, the rest gets 502, not 503, since a call with its id may run. Messages are posted by a goroutine of the link, so the event loop never blocks on the other process.

Not taken: reports alone (a fast copy overtakes them), questions alone (a dead process's calls are forgotten), one process as proxy of the other, accepting in one process only.

--- /dev/null
+++ b/cmd/olivebridge/copied_id_test.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"olivebridge/internal/handover"
+)
+
+// signalAndWait sends a signal to the process and waits until it has the state in /proc, such as T for stopped.
+func (n *process) signalAndWait(t *testing.T, signal syscall.Signal, states string) {
+	t.Helper()
+	n.cmd.Process.Signal(signal)
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.cmd.Process.Pid))
+		_, rest, _ := strings.Cut(string(stat), ") ")
+		if err != nil || rest != "" && strings.Contains(states, rest[:1]) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("process is in state %.1s after signal %v, want one of %s", rest, signal, states)
+		}
+	}
+}
+
+// connectTo returns a connection that the process to has accepted, and not one of the others of its node, all of which
+// listen at the same address.
+func connectTo(t *testing.T, to *process, others ...*process) net.Conn {
+	t.Helper()
+	for _, other := range others {
+		other.signalAndWait(t, syscall.SIGSTOP, "T")
+		defer other.signalAndWait(t, syscall.SIGCONT, "RSD")
+	}
+	conn, err := net.Dial("tcp", to.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	fmt.Fprint(conn, "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("readiness check: got %v, error %v", resp, err)
+	}
+	return conn
+}
+
+// sendBook sends a call that must not run twice on a connection, and returns a channel with the status of the answer;
+// 0: there was none.
+func sendBook(conn net.Conn, id string) <-chan int {
+	fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Id: %s\r\nX-Call-Class: book\r\nX-Caller: acme\r\n"+
+		"X-Budget: 1.5\r\nContent-Length: 4\r\n\r\npaid", id)
+	status := make(chan int, 1)
+	go func() {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			status <- 0
+			return
+		}
+		resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	return status
+}
+
+// TestCopiedIDDuringUpgrade guards against an order that runs twice during an upgrade: while a call is open in one of
+// the node's processes, a copy with its id reaches another one. The copy must get an error, and the call must run once.
+func TestCopiedIDDuringUpgrade(t *testing.T) {
+	const predecessor, successor, second = 0, 1, 2 // indices of the processes in the order of their starts
+	for name, c := range map[string]struct {
+		processes    int
+		holder, copy int
+		signal       syscall.Signal // sent to the process signaled, between the call and its copy; 0: none
+		signaled     int
+		states       string // states of the process after the signal
+	}{
+		"open in the predecessor":                {processes: 2, holder: predecessor, copy: successor},
+		"open in the successor":                  {processes: 2, holder: successor, copy: predecessor},
+		"open in the predecessor's predecessor":  {processes: 3, holder: predecessor, copy: second},
+		"open in the successor's successor":      {processes: 3, holder: second, copy: predecessor},
+		"the predecessor ends":                   {2, predecessor, successor, syscall.SIGTERM, predecessor, "RSD"},
+		"the successor ends":                     {2, successor, predecessor, syscall.SIGTERM, successor, "RSD"},
+		"the predecessor dies":                   {2, predecessor, successor, syscall.SIGKILL, predecessor, "ZX"},
+		"the successor dies":                     {2, successor, predecessor, syscall.SIGKILL, successor, "ZX"},
+		"the predecessor hangs":                  {2, predecessor, successor, syscall.SIGSTOP, predecessor, "T"},
+		"the successor hangs":                    {2, successor, predecessor, syscall.SIGSTOP, successor, "T"},
+		"the process between the two dies":       {3, predecessor, second, syscall.SIGKILL, successor, "ZX"},
+		"the first of three processes has died":  {3, predecessor, second, syscall.SIGKILL, predecessor, "ZX"},
+		"the last of three processes has died":   {3, second, predecessor, syscall.SIGKILL, second, "ZX"},
+		"the first of three processes is ending": {3, predecessor, second, syscall.SIGTERM, predecessor, "RSD"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newRuleChecker()
+			running, release := make(chan bool, 10), make(chan bool)
+			n := prepare(t, config, unchangedList, s.recordingHandler("s-0", func(http.ResponseWriter, *http.Request) {
+				running <- true
+				<-release
+			}))
+			n.env[1] = "ROUTER_LISTEN=" + freeAddr(t)
+			n.env = append(n.env, "ROUTER_ADMIN="+freeAddr(t))
+			n.launch(t)
+			processes := []*process{n}
+			for len(processes) < c.processes {
+				next, _ := processes[len(processes)-1].startSuccessor(t)
+				next.addr = n.addr
+				processes[len(processes)-1].waitForLog(t, "successor takes clients")
+				processes = append(processes, next)
+			}
+			connect := func(to int) net.Conn {
+				var others []*process
+				for i, other := range processes {
+					if i != to {
+						others = append(others, other)
+					}
+				}
+				return connectTo(t, processes[to], others...)
+			}
+			original, copied := connect(c.holder), connect(c.copy)
+			id := fmt.Sprint("copied-", lastCallID.Add(1))
+			answer := sendBook(original, id)
+			<-running
+			time.Sleep(20 * time.Millisecond) // a process that dies has reported its open calls
+			if c.signal != 0 {
+				processes[c.signaled].signalAndWait(t, c.signal, c.states)
+			}
+			select {
+			case status := <-sendBook(copied, id):
+				if status < 400 {
+					t.Errorf("the copy got status %d, want an error", status)
+				}
+			case <-time.After(3 * time.Second):
+				t.Error("the copy got no answer within 3 s")
+			}
+			if c.signal == syscall.SIGSTOP {
+				processes[c.signaled].signalAndWait(t, syscall.SIGCONT, "RSD")
+			}
+			close(release)
+			died := c.signal == syscall.SIGKILL && c.signaled == c.holder
+			if status := <-answer; status != 200 && !died {
+				t.Errorf("the call got status %d, want 200", status)
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if runs := s.request(id).mayHaveRun; runs != 1 {
+				t.Errorf("the call ran %d times, want once", runs)
+			}
+		})
+	}
+}
+
+// TestPredecessorOfEarlierBuild guards against calls that run twice, or wait without a bound, behind a predecessor that
+// does not know which calls are open elsewhere: until it ends, a call that must not run twice fails.
+func TestPredecessorOfEarlierBuild(t *testing.T) {
+	t.Setenv("ROUTER_ADMIN", freeAddr(t))
+	s := newRuleChecker()
+	next := prepare(t, config, unchangedList, s.recordingHandler("s-0", respondOK))
+	clients, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer clients.Close()
+	next.env[1] = "ROUTER_LISTEN=" + clients.Addr().String()
+	listener, err := handover.Listen(filepath.Join(next.env[4][len("TMPDIR="):], "olivebridge-n0.sock"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	linked := make(chan *handover.Link, 1)
+	go func() {
+		link, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		link.Send(handover.Message{Kind: handover.KindListener, ListVersion: 1}, clients.(*net.TCPListener))
+		ready, _, _ := link.Receive()
+		link.Send(handover.Message{Kind: handover.KindResult, RequestNumber: ready.RequestNumber}, nil)
+		linked <- link
+	}()
+	next.launch(t)
+	link := <-linked
+	if status, _ := s.call(t, next.addr, "status", nil); status != 200 {
+		t.Errorf("a call that may run twice got status %d, want 200", status)
+	}
+	if status, _ := s.call(t, next.addr, "book", nil); status != http.StatusBadGateway {
+		t.Errorf("a call that must not run twice got status %d, want 502", status)
+	}
+	link.Close()
+	next.waitForLog(t, "other process has ended")
+	if status, _ := s.call(t, next.addr, "book", nil); status != 200 {
+		t.Errorf("after the end of the predecessor: got status %d, want 200", status)
+	}
+	next.shutdown(t)
+	s.check(t)
+}
--- a/internal/handover/codec_test.go
+++ b/internal/handover/codec_test.go
@@ -5,13 +5,15 @@
 	"os"
 	"reflect"
 	"testing"
+	"time"
 
 	"olivebridge/balancer"
 	"olivebridge/internal/maintenance"
 )
 
-// TestMessagesOfAnEarlierBuild decodes messages that the build of commit 78d81e3 wrote and checks that encoding them
-// yields the same bytes. During an upgrade the two processes are of different builds and must understand each other.
+// TestMessagesOfAnEarlierBuild decodes messages that earlier builds wrote and checks that encoding them yields the same
+// bytes. During an upgrade the two processes are of different builds and must understand each other. The first six are
+// of the build of commit 78d81e3, the others of the first build that claims calls.
 func TestMessagesOfAnEarlierBuild(t *testing.T) {
 	stored, err := os.ReadFile("testdata/messages.jsonl")
 	if err != nil {
@@ -31,6 +33,14 @@
 		{Kind: KindCommand, RequestNumber: 2, Command: "SUSPEND", ServerID: "s-2"},
 		{Kind: KindResult, RequestNumber: 2, Error: `no list has ever named server "s-2"`},
 		{Kind: KindConnection},
+		{Kind: KindListener, ListVersion: 41, AnswersClaims: true},
+		{Kind: KindClaim, RequestNumber: 3, Calls: []OpenCall{{ID: "9b1f03aa5c7e2d41", Remaining: 1512 * time.Millisecond}}},
+		{Kind: KindClaimResult, RequestNumber: 3, Granted: true},
+		{Kind: KindOpened, Calls: []OpenCall{
+			{ID: "u-1", Remaining: time.Second, Repeatable: true},
+			{ID: "u-2", Remaining: 1},
+		}},
+		{Kind: KindClosed, Calls: []OpenCall{{ID: "u-1"}}},
 	}
 	lines := bytes.Split(bytes.TrimSuffix(stored, []byte("\n")), []byte("\n"))
 	if len(lines) != len(want) {
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -37,28 +37,38 @@
 
 	closeOnce sync.Once
 	closed    chan struct{} // closed by Close
+
+	outbox outbox
 }
 
 func newLink(conn *net.UnixConn) *Link {
-	return &Link{conn: conn, pending: map[uint64]chan Message{}, closed: make(chan struct{})}
+	l := &Link{conn: conn, pending: map[uint64]chan Message{}, closed: make(chan struct{})}
+	l.outbox.init(l)
+	return l
 }
 
 // Close closes the link. Receive then returns an error in both processes.
 func (l *Link) Close() {
 	l.closeOnce.Do(func() { close(l.closed) })
 	_ = l.conn.Close()
+	l.outbox.close()
 }
 
 // Send sends a message and, unless descriptor is nil, a duplicate of a file descriptor; the sender's own stays open. If
 // the descriptor is already closed, nothing is sent and the error is ErrConnectionEnded.
 func (l *Link) Send(m Message, descriptor syscall.Conn) error {
+	return l.send(m, descriptor, sendTimeout)
+}
+
+// send is Send, with a bound on the duration for which it blocks while the other process does not read.
+func (l *Link) send(m Message, descriptor syscall.Conn, timeout time.Duration) error {
 	data, err := encode(m)
 	if err != nil {
 		return err
 	}
 	l.sendMu.Lock()
 	defer l.sendMu.Unlock()
-	_ = l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+	_ = l.conn.SetWriteDeadline(time.Now().Add(timeout))
 	if descriptor == nil {
 		_, err = l.conn.Write(data)
 		return err
--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 // newLinkPair returns the two ends of a link: the connecting one and the accepting one.
@@ -116,3 +117,38 @@
 		file.Close()
 	}
 }
+
+// TestPost: posted messages arrive in order, and a process that does not read, or has ended, never blocks the sender. A
+// blocked event loop would answer no call.
+func TestPost(t *testing.T) {
+	local, remote := newLinkPair(t)
+	const ordered = 50
+	for n := range uint64(ordered) {
+		if !local.Post(Message{Kind: KindClaim, RequestNumber: n}) {
+			t.Fatalf("message %d was dropped", n)
+		}
+	}
+	for n := range uint64(ordered) {
+		if m, _, err := remote.Receive(); err != nil || m.RequestNumber != n {
+			t.Fatalf("got %+v, error %v; want message %d", m, err, n)
+		}
+	}
+	for sent := true; sent; time.Sleep(10 * time.Millisecond) { // until the socket's buffer and the outbox are full
+		sent = local.Post(Message{Kind: KindClaim})
+		begun := time.Now()
+		for local.Post(Message{Kind: KindClaim}) {
+		}
+		if d := time.Since(begun); d > postTimeout {
+			t.Errorf("filling the outbox took %v, want no wait for the process that does not read", d)
+		}
+	}
+	begun := time.Now()
+	if err := local.Send(Message{Kind: KindCommand}, nil); err == nil || time.Since(begun) > sendTimeout+2*postTimeout {
+		t.Errorf("Send beside a full outbox: error %v after %v, want one after at most %v",
+			err, time.Since(begun), sendTimeout+2*postTimeout)
+	}
+	local.Close()
+	if local.Post(Message{Kind: KindClaim}) {
+		t.Error("posting to a closed link succeeded")
+	}
+}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -1,6 +1,8 @@
 package handover
 
 import (
+	"time"
+
 	"olivebridge/internal/maintenance"
 )
 
@@ -22,8 +24,28 @@
 	KindResult Kind = "done"
 	// KindConnection carries the descriptor of an idle client connection.
 	KindConnection Kind = "conn"
+	// KindClaim asks the predecessor whether a call may be opened, which it may not while another call with its id is
+	// open in any process of the node. KindClaimResult has the result.
+	KindClaim Kind = "claim"
+	// KindClaimResult is the result of the KindClaim with the same RequestNumber.
+	KindClaimResult Kind = "claimed"
+	// KindOpened reports calls that have been opened in the sender or in a process behind it.
+	KindOpened Kind = "opened"
+	// KindClosed reports the end of calls that were claimed or reported as opened.
+	KindClosed Kind = "closed"
 )
 
+// OpenCall is a call that is open in a process of the node.
+type OpenCall struct {
+	// ID is the request id that the client sent.
+	ID string `json:"id"`
+	// Remaining is the duration, from when the message was sent, after which the call has certainly ended. It is
+	// encoded in nanoseconds, and is 0 in KindClosed.
+	Remaining time.Duration `json:"left,omitempty"`
+	// Repeatable reports whether the call may run more than once.
+	Repeatable bool `json:"repeatable,omitempty"`
+}
+
 // Message is a message between the processes of a node. Each kind uses some of the fields. Processes of other builds
 // depend on the JSON keys, so a key stays when its field is renamed.
 type Message struct {
@@ -38,6 +60,12 @@
 	Paused bool `json:"paused,omitempty"`
 	// WarmThroughput is the successor's balancer.Settings.WarmThroughput; see KindListener.
 	WarmThroughput float64 `json:"carried_rate,omitempty"`
+	// AnswersClaims reports whether the sender answers KindClaim. Earlier builds do not; see KindListener.
+	AnswersClaims bool `json:"claims,omitempty"`
+	// Calls are the calls to which the message applies; see KindClaim, KindOpened and KindClosed.
+	Calls []OpenCall `json:"calls,omitempty"`
+	// Granted reports whether a claimed call may be opened; see KindClaimResult.
+	Granted bool `json:"granted,omitempty"`
 	// RequestNumber identifies a request among those of the same sender. Its result has the same number.
 	RequestNumber uint64 `json:"number,omitempty"`
 	// Command is the name of the command; see KindCommand.
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -21,6 +21,8 @@
 	Paused bool
 	// WarmThroughput is the successor's balancer.Settings.WarmThroughput; 0: unknown.
 	WarmThroughput float64
+	// AnswersClaims reports whether the process answers messages of KindClaim.
+	AnswersClaims bool
 }
 
 // Messages returns the messages that transfer the state, in the order to send them. The last one is of KindListener and
@@ -38,6 +40,7 @@
 		DiscoveryAddr:  s.DiscoveryAddr,
 		Paused:         s.Paused,
 		WarmThroughput: s.WarmThroughput,
+		AnswersClaims:  s.AnswersClaims,
 	})
 }
 
@@ -52,6 +55,7 @@
 		s.DiscoveryAddr = m.DiscoveryAddr
 		s.Paused = m.Paused
 		s.WarmThroughput = m.WarmThroughput
+		s.AnswersClaims = m.AnswersClaims
 		return true, nil
 	}
 	return false, fmt.Errorf("hand-over: got message kind %q, want the node's state", m.Kind)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,6 +153,7 @@
 		InitialEndpoints: c.KnownEndpoints,
 		Transport:        upstream,
 		Maintenance:      n.servers,
+		Predecessor:      n.predecessor(),
 		Log:              n.log,
 	}
 	frontend := transport.FrontendConfig{
--- a/internal/node/predecessor.go
+++ b/internal/node/predecessor.go
@@ -58,6 +58,7 @@
 		}
 	}
 	n.processes.setSuccessor(link)
+	n.router.AttachSuccessor(linkedProcess{link})
 	n.log.Info("successor", "servers", len(state.Servers))
 	n.applyLimits()
 	return nil
@@ -65,7 +66,7 @@
 
 // state returns the state that a successor takes over.
 func (n *Node) state() handover.NodeState {
-	var state handover.NodeState
+	state := handover.NodeState{AnswersClaims: true}
 	state.Servers, state.ListVersion = n.servers.Export()
 	state.Paused = n.frontend.Paused()
 	ctx, stop := context.WithTimeout(context.Background(), snapshotTimeout)
--- a/internal/node/process_group.go
+++ b/internal/node/process_group.go
@@ -15,6 +15,9 @@
 	successor      *handover.Link     // nil: there is no successor
 	successorReady bool               // the successor accepts clients
 	ending         bool               // close was called
+	// predecessorAnswersClaims reports whether the predecessor answers claims of calls. It is immutable once the node's
+	// goroutines run.
+	predecessorAnswersClaims bool
 
 	commands sync.Mutex     // serializes commands, so that all processes execute them in the same order
 	running  sync.WaitGroup // goroutines that accept a successor or receive messages
--- a/internal/node/process_messages.go
+++ b/internal/node/process_messages.go
@@ -41,6 +41,8 @@
 		link.Resolve(message)
 	case handover.KindConnection:
 		n.handleConnection(file)
+	case handover.KindClaim, handover.KindClaimResult, handover.KindOpened, handover.KindClosed:
+		n.handleCalls(link, message)
 	}
 }
 
@@ -86,6 +88,7 @@
 func (n *Node) handleEnded(link *handover.Link) {
 	link.Close()
 	removal := n.processes.remove(link)
+	n.router.EndPeer(linkedProcess{link})
 	n.log.Info("the node's other process has ended")
 	n.applyLimits()
 	if removal.acceptSuccessor {
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -25,6 +25,11 @@
 		return nil, false
 	}
 	n.processes.predecessor = takeover.Link // needs no lock: no other goroutine is running yet
+	n.processes.predecessorAnswersClaims = takeover.State.AnswersClaims
+	if !takeover.State.AnswersClaims {
+		n.log.Warn("predecessor does not answer", "calls", "those that must not run twice fail until it ends",
+			"reason", "an earlier build")
+	}
 	n.adoptState(takeover.State)
 	n.log.Info("taking over", "servers", len(takeover.State.Servers), "version", n.config.KnownEndpointsVersion,
 		"paused", takeover.State.Paused)
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -7,15 +7,14 @@
 )
 
 // admitEvent adds a received call to the call table and passes it to the Balancer, which decides how to proceed with
-// it.
+// it. While the node has an older process, the call is claimed from that first.
 type admitEvent struct{ call *openCall }
 
 func (e admitEvent) requestID() balancer.RequestID { return e.call.id }
 
 func (e admitEvent) handle(r *Router) {
 	call := e.call
-	now := r.now()
-	if r.calls.isDuplicate(call) {
+	if r.calls.isOpen(call.ClientRequestID) {
 		// Running a duplicate could repeat the side effect of the first call or send its answer to another client. The
 		// verdict is Duplicate, an error, and not Rejected, because the first call may run.
 		call.answered = true
@@ -27,6 +26,18 @@
 	if call.Class >= 0 && call.Class < len(r.settings.Classes) {
 		call.class = &r.settings.Classes[call.Class] // a reload replaces the slice and does not modify this one
 	}
+	if r.peers.predecessor.Process != nil && call.ClientRequestID != "" {
+		r.claimLocalCall(call)
+		return
+	}
+	r.admit(call)
+}
+
+// admit passes a call of the table to the Balancer.
+func (r *Router) admit(call *openCall) {
+	now := r.now()
+	call.admitted = true
+	r.reportOpened(call)
 	call.deadline = r.balancerTime(call.ReceivedAt.Add(call.maxDuration() - answerMargin))
 	r.balancer.HandleRequest(now, balancer.Request{
 		ID:          call.id,
--- a/internal/routing/call_table.go
+++ b/internal/routing/call_table.go
@@ -27,6 +27,11 @@
 	class    *balancer.Class // from the settings at admission; nil if Call.Class is out of range
 	attempts []*runningAttempt
 	inFlight int // number of attempts without an outcome
+	// admitted is set once the Balancer has the call; before, its claim may wait for an answer.
+	admitted bool
+	// claimed is set while the predecessor counts the call as open in this process, reported while the successor does.
+	claimed  bool
+	reported bool
 	// firstAttempt and attemptsArray avoid allocations, since most calls make at most two attempts.
 	firstAttempt  runningAttempt
 	attemptsArray [2]*runningAttempt
@@ -58,19 +63,25 @@
 	byID             map[balancer.RequestID]*openCall
 	clientRequestIDs map[string]struct{}
 	lastID           balancer.RequestID
+	otherProcessCalls
 }
 
 func newCallTable() callTable {
 	return callTable{
-		byID:             map[balancer.RequestID]*openCall{},
-		clientRequestIDs: map[string]struct{}{},
+		byID:              map[balancer.RequestID]*openCall{},
+		clientRequestIDs:  map[string]struct{}{},
+		otherProcessCalls: newOtherProcessCalls(),
 	}
 }
 
-// isDuplicate reports whether a call with the same client request id is open.
-func (t *callTable) isDuplicate(call *openCall) bool {
-	_, open := t.clientRequestIDs[call.ClientRequestID]
-	return open && call.ClientRequestID != ""
+// isOpen reports whether a call with a client request id is open, here or, as far as this process knows, in another
+// process of the node. The empty id is never open.
+func (t *callTable) isOpen(clientRequestID string) bool {
+	if clientRequestID == "" {
+		return false
+	}
+	_, open := t.clientRequestIDs[clientRequestID]
+	return open || t.otherProcessCalls.isOpen(clientRequestID)
 }
 
 // add assigns the next id to a call and inserts the call into the table.
@@ -81,12 +92,15 @@
 	t.byID[call.id] = call
 }
 
-// removeIfDone removes a call that has been answered and has no attempt in flight.
-func (t *callTable) removeIfDone(call *openCall) {
-	if call.answered && call.inFlight == 0 && t.byID[call.id] == call {
-		delete(t.byID, call.id)
-		delete(t.clientRequestIDs, call.ClientRequestID)
+// removeIfDone removes a call that has been answered and has no attempt in flight. It reports whether it removed the
+// call.
+func (t *callTable) removeIfDone(call *openCall) bool {
+	if !call.answered || call.inFlight > 0 || t.byID[call.id] != call {
+		return false
 	}
+	delete(t.byID, call.id)
+	delete(t.clientRequestIDs, call.ClientRequestID)
+	return true
 }
 
 // attemptsInFlight returns the number of attempts in flight, over all calls, for which match returns true.
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -34,6 +34,13 @@
 	RetriesOverFleetBudget atomic.Int64
 	WarmUpOverFleetBudget  atomic.Int64
 
+	// Claims counts the calls that were claimed from the predecessor in an upgrade, ClaimsDenied and ClaimsUnanswered
+	// those with these results. ClaimsRefused counts the successor's claims that this process has denied.
+	Claims           atomic.Int64
+	ClaimsDenied     atomic.Int64
+	ClaimsUnanswered atomic.Int64
+	ClaimsRefused    atomic.Int64
+
 	HealthChecks       atomic.Int64
 	HealthChecksFailed atomic.Int64
 	EndpointLists      atomic.Int64
@@ -103,6 +110,12 @@
 		add("over_retries", &c.RetriesOverFleetBudget)
 		add("over_cold", &c.WarmUpOverFleetBudget)
 	}
+	if c.Claims.Load()+c.ClaimsRefused.Load() > 0 { // a process without an upgrade omits these counters
+		add("ids_asked", &c.Claims)
+		add("ids_denied", &c.ClaimsDenied)
+		add("ids_unanswered", &c.ClaimsUnanswered)
+		add("ids_refused", &c.ClaimsRefused)
+	}
 	add("probes", &c.HealthChecks)
 	add("probes_failed", &c.HealthChecksFailed)
 	add("lists", &c.EndpointLists)
--- a/internal/routing/panic.go
+++ b/internal/routing/panic.go
@@ -37,7 +37,7 @@
 	for number := range call.attempts {
 		r.Cancel(id, number)
 	}
-	r.calls.removeIfDone(call)
+	r.removeIfDone(call)
 	defer r.recoverPanic("abandoned call") // an invalid state of the call may make HandleDisconnect panic
 	r.balancer.HandleDisconnect(r.now(), id)
 }
--- a/internal/routing/respond.go
+++ b/internal/routing/respond.go
@@ -36,7 +36,7 @@
 		r.respond(call, Answer{Verdict: Served, Reply: attempt.result.Reply})
 	}
 	outcome.RequestDone = call.answered
-	defer r.calls.removeIfDone(call)
+	defer r.removeIfDone(call)
 	r.balancer.HandleOutcome(r.now(), outcome)
 }
 
@@ -76,7 +76,7 @@
 		return
 	}
 	r.respond(call, answer)
-	r.calls.removeIfDone(call)
+	r.removeIfDone(call)
 }
 
 // disconnectEvent reports that the front end no longer waits for the answer to a call.
@@ -93,6 +93,6 @@
 		return
 	}
 	call.finish()
-	defer r.calls.removeIfDone(call)
-	r.balancer.HandleDisconnect(r.now(), call.id)
+	defer r.removeIfDone(call)
+	r.balancer.HandleDisconnect(r.now(), call.id) // without effect on a call that is not admitted
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -35,6 +35,8 @@
 	Admission AdmissionControl
 	// Subsets selects the servers that the node uses. If nil, the node uses all servers.
 	Subsets SubsetSelector
+	// Predecessor is the process of this node from which this process takes over. EndPeer must be called at its end.
+	Predecessor Predecessor
 	// Log is the logger of the Router. Its handler must not block.
 	Log *slog.Logger
 }
@@ -74,6 +76,7 @@
 	watcher   Watcher
 	watch     *watch // nil if no watch is running
 	timers    map[*timerEvent]struct{}
+	peers     peerProcesses
 }
 
 var _ balancer.Host = (*Router)(nil)
@@ -98,6 +101,7 @@
 			calls:     newCallTable(),
 			watcher:   config.Watcher,
 			timers:    map[*timerEvent]struct{}{},
+			peers:     newPeerProcesses(config.Predecessor),
 		},
 	}
 	r.maxRetryAfter.Store(int64(config.Settings.MaxRetryAfter))
@@ -118,6 +122,7 @@
 func (r *Router) Run(ctx context.Context) error {
 	defer r.tasks.Wait()
 	defer r.stopTimers()
+	defer r.stopClaims()
 	defer r.cancelAttempts()
 	defer close(r.stopped)
 	r.ctx = ctx
