Let handed-over connections wait for room without holding up the link

What callers saw: in an upgrade beside a crowd, FAILURE to an operator's command that the other process did not confirm in 0.6 s; with claims, 502 to calls that must not run twice.

Cause: the goroutine that reads the link waited in Frontend.Adopt until the frontend had room for a connection, up to 0.3 s each, and everything behind it waited. Change: each connection waits on its own goroutine. Not taken: a bounded queue, whose surplus would have to be closed under requests.

--- a/cmd/olivebridge/copied_id_test.go
+++ b/cmd/olivebridge/copied_id_test.go
@@ -155,19 +155,17 @@
 	}
 }
 
-// TestPredecessorOfEarlierBuild guards against calls that run twice, or wait without a bound, behind a predecessor that
-// does not know which calls are open elsewhere: until it ends, a call that must not run twice fails.
-func TestPredecessorOfEarlierBuild(t *testing.T) {
-	t.Setenv("ROUTER_ADMIN", freeAddr(t))
-	s := newRuleChecker()
-	next := prepare(t, config, unchangedList, s.recordingHandler("s-0", respondOK))
+// launchBehindEarlierBuild launches a process whose predecessor, played by the test, is of an earlier build. It returns
+// the predecessor's end of the link and its listener for clients.
+func (n *process) launchBehindEarlierBuild(t *testing.T) (*handover.Link, net.Listener) {
+	t.Helper()
 	clients, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer clients.Close()
-	next.env[1] = "ROUTER_LISTEN=" + clients.Addr().String()
-	listener, err := handover.Listen(filepath.Join(next.env[4][len("TMPDIR="):], "olivebridge-n0.sock"))
+	t.Cleanup(func() { clients.Close() })
+	n.env[1] = "ROUTER_LISTEN=" + clients.Addr().String()
+	listener, err := handover.Listen(filepath.Join(n.env[4][len("TMPDIR="):], "olivebridge-n0.sock"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -183,8 +181,17 @@
 		link.Send(handover.Message{Kind: handover.KindResult, RequestNumber: ready.RequestNumber}, nil)
 		linked <- link
 	}()
-	next.launch(t)
-	link := <-linked
+	n.launch(t)
+	return <-linked, clients
+}
+
+// TestPredecessorOfEarlierBuild guards against calls that run twice, or wait without a bound, behind a predecessor that
+// does not know which calls are open elsewhere: until it ends, a call that must not run twice fails.
+func TestPredecessorOfEarlierBuild(t *testing.T) {
+	t.Setenv("ROUTER_ADMIN", freeAddr(t))
+	s := newRuleChecker()
+	next := prepare(t, config, unchangedList, s.recordingHandler("s-0", respondOK))
+	link, _ := next.launchBehindEarlierBuild(t)
 	if status, _ := s.call(t, next.addr, "status", nil); status != 200 {
 		t.Errorf("a call that may run twice got status %d, want 200", status)
 	}
@@ -199,3 +206,50 @@
 	next.shutdown(t)
 	s.check(t)
 }
+
+// TestConnectionWithoutRoom guards against messages of the predecessor that wait behind a connection for which the
+// successor has no room: operators' commands, and answers to claims, without which calls fail.
+func TestConnectionWithoutRoom(t *testing.T) {
+	t.Setenv("ROUTER_ADMIN", freeAddr(t))
+	n := prepare(t, config, unchangedList, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	n.replaceInConfig(t, `"sockets":256`, `"sockets":64`)
+	link, clients := n.launchBehindEarlierBuild(t)
+	for i := range 40 { // more than the process has room for
+		conn, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprint(conn, "GET /api HTTP/1.1\r\nHost: a\r\n")
+		if i < 8 {
+			fmt.Fprintf(conn, "X-Call-Id: r-%d\r\nX-Call-Class: status\r\nX-Caller: acme\r\nX-Budget: 8\r\n\r\n",
+				lastCallID.Add(1))
+		}
+	}
+	time.Sleep(200 * time.Millisecond) // until the process has accepted what it has room for
+	for range 4 {                      // the first one waits for room, the others for those before them
+		handed, err := net.Dial("tcp", clients.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer handed.Close()
+		if err := link.Send(handover.Message{Kind: handover.KindConnection}, handed.(*net.TCPConn)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	received := make(chan handover.Message, 1)
+	go func() {
+		if m, _, err := link.Receive(); err == nil {
+			received <- m
+		}
+	}()
+	link.Send(handover.Message{Kind: handover.KindCommand, RequestNumber: 1, Command: "PAUSE"}, nil)
+	select {
+	case m := <-received:
+		if m.Kind != handover.KindResult || m.Error != "" {
+			t.Errorf("got %+v, want the result of the command", m)
+		}
+	case <-time.After(600 * time.Millisecond):
+		t.Error("no result within the 600 ms that a process waits for it")
+	}
+}
--- a/internal/node/process_messages.go
+++ b/internal/node/process_messages.go
@@ -72,14 +72,15 @@
 	_ = link.Send(result, nil)
 }
 
-// handleConnection passes a client connection to the frontend; nil: none came with the message. It returns only once
-// the frontend owns the connection, before the next message is received: a link that ends in between must not lose it.
+// handleConnection passes a client connection to the frontend; nil: none came with the message. It does not wait until
+// the frontend accepts the connection, which takes until there is room for it: the answers to claims and to operators'
+// commands come behind it. A link that ends meanwhile does not lose the connection.
 func (n *Node) handleConnection(file *os.File) {
 	if file == nil {
 		return
 	}
 	if conn, err := net.FileConn(file); err == nil {
-		n.frontend.Adopt(conn)
+		n.processes.running.Go(func() { n.frontend.Adopt(conn) })
 	}
 }
 
