Lab: copy the ids of open calls while both processes of an upgrade serve

A copy that a peer works on beside its call breaks "copied" (and "effect"). Nodes whose processes a script stops get no copies: such a process may answer the call before it reads the copy, which is no open id any more. Not taken: an in-memory hand-over on the virtual clock, which needs shared listeners and two processes a node throughout package stage.

--- a/internal/lab/fault/fleet.go
+++ b/internal/lab/fault/fleet.go
@@ -18,8 +18,9 @@
 	Cut(from, to func(node string) bool) (heal func())
 	// Impair impairs the traffic in the direction from the nodes of one set to those of the other.
 	Impair(from, to func(node string) bool, a Impairment) (heal func())
-	// Upgrade starts a node's next process, which takes over from the one in service.
-	Upgrade(node string)
+	// Upgrade starts a node's next process, which takes over from the one in service. Once it serves, both do for the
+	// duration overlap, before the earlier process is told to end.
+	Upgrade(node string, overlap time.Duration)
 	// Move changes the address at which the other nodes reach the next processes of a node.
 	Move(node string)
 	// StartDuplicate starts a foreign process under a node's name, with its own address and directory.
@@ -85,8 +86,8 @@
 			{Key: "pause", Hi: 5, Means: "by which each is late, each way"}}, (*run).fleetLate},
 		{"fleet-reset", "connections between the nodes and others break", []Parameter{nodes, duration, share("of pieces")},
 			(*run).fleetReset},
-		{"fleet-upgrade", "a next process of each of the nodes takes over from the one in service", []Parameter{nodes},
-			(*run).fleetUpgrade},
+		{"fleet-upgrade", "a next process of each of the nodes takes over from the one in service", []Parameter{nodes,
+			{Key: "pause", Hi: 5, Means: "for which both serve"}}, (*run).fleetUpgrade},
 		{"fleet-move", "the nodes die and come back at other addresses among the nodes", []Parameter{nodes, downtime},
 			(*run).fleetMove},
 		{"fleet-twin", "strangers live under the nodes' names", []Parameter{nodes, duration}, (*run).fleetTwin},
@@ -229,7 +230,7 @@
 func (r *run) fleetUpgrade(f *Fault) {
 	for _, name := range f.Nodes {
 		if r.nodes[name].holds == 0 && !r.target.Node(name).Down() {
-			r.fleet().Upgrade(name)
+			r.fleet().Upgrade(name, f.Pause.D())
 		}
 	}
 }
--- a/internal/lab/fleet/account.go
+++ b/internal/lab/fleet/account.go
@@ -70,6 +70,7 @@
 	Peers         []PeerEvent    // events of peers and of other parts of the world, ordered by time
 	Falls         int            // the number of cold peers that failed under load
 	ClientCalls   []ClientCall   // made by the scenario's own clients
+	CopiedCalls   []CopiedCall   // made by the scenario's copying clients
 	OperatorCalls []OperatorCall // made by operators
 	ProbeCounts   []ProbeCount   // cumulative counts of the health checks at all peers
 	Traffic       Traffic
--- a/internal/lab/fleet/cases.go
+++ b/internal/lab/fleet/cases.go
@@ -188,6 +188,19 @@
 		}}
 }
 
+// copiesCase upgrades one process after the other, each beside its predecessor for a while, with copies of open calls.
+func copiesCase() Case {
+	return Case{"copies", "one process after the other is upgraded, and serves beside its predecessor for up to 1.5 s",
+		3, 32 * time.Second,
+		func(c *caseMaker) {
+			g := figure.Stream(c.seed, "copies case")
+			for i := range 6 {
+				pause := figure.Uniform(g, 0, 1.5)
+				c.add("fleet-upgrade", 4+2.4*float64(i), 0, c.names[i%3]).Pause = figure.Span(figure.Seconds(pause))
+			}
+		}}
+}
+
 // stepsCase kills processes, stops them for longer than it takes to be declared dead, and cuts them off, each at every
 // step of a stored call.
 func stepsCase() Case {
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -25,6 +25,8 @@
 	ExtraTables func(FileValues) string
 	// Clients calls the nodes, given their addresses by name, until the script is over. It may be nil.
 	Clients func(ctx context.Context, nodes map[string]string, s *fault.Script) []ClientCall
+	// CopyingClients likewise sends calls and copies of them. It may be nil.
+	CopyingClients func(ctx context.Context, nodes map[string]string, s *fault.Script) []CopiedCall
 	// Operators calls the nodes' admin listeners until the script is over. It may be nil.
 	Operators func(ctx context.Context, addresses func(node string) string, s *fault.Script) []OperatorCall
 }
@@ -106,11 +108,13 @@
 		WallOffset: time.Duration(time.Now().UnixNano()) - record.Now(),
 	}
 	firstPeriod := countPeriodNow()
-	clientCalls := g.startClients(ctx, run, s)
-	operatorCalls := g.startOperators(ctx, s)
+	clientCalls := startCallers(ctx, g.options.Clients, run.Nodes(), s)
+	copiedCalls := startCallers(ctx, g.options.CopyingClients, run.Nodes(), s)
+	operatorCalls := startCallers(ctx, g.options.Operators, g.adminAddress, s)
 	g.reportProgress(run, s.Length.D())
 	a.End = record.Now()
 	a.ClientCalls = <-clientCalls
+	a.CopiedCalls = <-copiedCalls
 	a.OperatorCalls = <-operatorCalls
 	a.Periods = 1 + countPeriodNow() - firstPeriod
 	_ = run.Wait()
@@ -144,26 +148,16 @@
 	})
 }
 
-// startClients starts the clients of the options. The channel delivers their calls once they have finished; it is
-// closed if there are no clients.
-func (g *rig) startClients(ctx context.Context, run *live.Run, s *fault.Script) chan []ClientCall {
-	calls := make(chan []ClientCall, 1)
-	if g.options.Clients == nil {
+// startCallers starts clients or operators, given the addresses of the nodes. The channel delivers their calls once
+// they have finished; it is closed if there are none.
+func startCallers[Addresses, Call any](ctx context.Context, call func(context.Context, Addresses, *fault.Script) []Call,
+	addresses Addresses, s *fault.Script) chan []Call {
+	calls := make(chan []Call, 1)
+	if call == nil {
 		close(calls)
 		return calls
 	}
-	go func() { calls <- g.options.Clients(ctx, run.Nodes(), s) }()
-	return calls
-}
-
-// startOperators starts the operators of the options. The channel delivers their calls as that of startClients does.
-func (g *rig) startOperators(ctx context.Context, s *fault.Script) chan []OperatorCall {
-	calls := make(chan []OperatorCall, 1)
-	if g.options.Operators == nil {
-		close(calls)
-		return calls
-	}
-	go func() { calls <- g.options.Operators(ctx, g.adminAddress, s) }()
+	go func() { calls <- call(ctx, addresses, s) }()
 	return calls
 }
 
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -23,9 +23,10 @@
 	Cases        []Case
 	ExtraTables  func(FileValues) string // tables of the fleet files besides [member]
 	Judge        func(s *fault.Script, a *Account) Outcome
-	// Clients and Operators are those of Options. Both may be nil.
-	Clients   func(ctx context.Context, nodes map[string]string, s *fault.Script) []ClientCall
-	Operators func(ctx context.Context, addresses func(node string) string, s *fault.Script) []OperatorCall
+	// Clients, CopyingClients and Operators are those of Options. Each may be nil.
+	Clients        func(ctx context.Context, nodes map[string]string, s *fault.Script) []ClientCall
+	CopyingClients func(ctx context.Context, nodes map[string]string, s *fault.Script) []CopiedCall
+	Operators      func(ctx context.Context, addresses func(node string) string, s *fault.Script) []OperatorCall
 }
 
 // Scenarios returns all scenarios by name.
@@ -103,6 +104,7 @@
 // Play plays a script for the scenario and judges the run.
 func (s Scenario) Play(ctx context.Context, script *fault.Script, options Options) (*Result, error) {
 	options.Clients = s.Clients
+	options.CopyingClients = s.CopyingClients
 	options.Operators = s.Operators
 	options.ExtraTables = s.ExtraTables
 	a, err := Play(ctx, script, options)
--- a/internal/lab/fleet/script.go
+++ b/internal/lab/fleet/script.go
@@ -67,13 +67,15 @@
 	apart.Part = fault.Range{Lo: 0.4, Hi: 0.8}
 	late := kind("fleet-late", 3, 2, 8)
 	late.Pause = fault.SecondsRange(0.005, 0.1)
+	upgrade := kind("fleet-upgrade", 8, 0, 0)
+	upgrade.Pause = fault.SecondsRange(0, 1.5)
 	return []fault.KindRanges{
 		kind("node-kill", 12, 0.5, 14), kind("node-restart", 8, 2.5, 8), kind("fleet-stop", 10, 0.5, 9),
 		kind("fleet-split", 12, 1, 12), kind("fleet-deaf", 4, 1, 8), kind("fleet-mute", 4, 1, 8),
 		apart,
 		share(kind("fleet-lossy", 6, 2, 10), 0.05, 0.3), share(kind("fleet-double", 2, 2, 8), 0.05, 0.5),
 		share(kind("fleet-reorder", 2, 2, 8), 0.05, 0.5), share(kind("fleet-reset", 3, 2, 8), 0.1, 0.6), late,
-		kind("fleet-upgrade", 8, 0, 0), kind("fleet-move", 6, 0.5, 8), kind("fleet-twin", 4, 3, 8),
+		upgrade, kind("fleet-move", 6, 0.5, 8), kind("fleet-twin", 4, 3, 8),
 		kind("fleet-full", 2, 2, 5), kind("fleet-unwritable", 2, 2, 5), kind("fleet-foreign", 2, 2, 5),
 		kind("fleet-torn", 2, 2, 5), kind("fleet-emptied", 2, 2, 5),
 	}
--- a/internal/lab/fleet/takeover.go
+++ b/internal/lab/fleet/takeover.go
@@ -33,6 +33,8 @@
 	TakeoverTime  Times       `json:"takeover_s"` // duration of those calls
 	FirstAttempts Times       `json:"first_s"`    // duration of calls whose first attempt returned the outcome
 	Kills         int         `json:"kills"`
+	Copies        int         `json:"copies"`        // copies of open calls that clients sent
+	CopyErrors    int         `json:"copies_failed"` // of Copies, those that got an error
 	Broken        []Violation `json:"broken"`
 }
 
@@ -52,6 +54,7 @@
 		t.Broken = append(t.Broken, Violation{Rule: "rig", What: a.RunError.Error()})
 	}
 	report := newReporter(&t.Broken, a.Begin)
+	t.CopyErrors, t.Copies = checkCopies(a, report)
 	if !strict {
 		report = func(string, time.Duration, string, ...any) {}
 	}
@@ -158,6 +161,7 @@
 		t.RunTwice, t.NotSent, t.TakenOver, t.TakeoverTime.Median, t.TakeoverTime.Worst)
 	fmt.Fprintf(&b, "a first attempt took %.1f ms (median), %.1f ms at worst\n",
 		1000*t.FirstAttempts.Median, 1000*t.FirstAttempts.Worst)
+	fmt.Fprintf(&b, "other clients sent %d copies of open calls, of which %d got an error\n", t.Copies, t.CopyErrors)
 	for _, one := range t.Broken {
 		fmt.Fprintf(&b, "  %s\n", one)
 	}
@@ -166,7 +170,8 @@
 
 // Line returns the result in one line.
 func (t *Takeover) Line(s *fault.Script) string {
-	return fmt.Sprintf("seed %d: %s; taken %d, answered %d, unknown %d (%d not out), lost %d, twice %d, later %d; %s",
+	return fmt.Sprintf(
+		"seed %d: %s; taken %d, answered %d, unknown %d (%d not out), lost %d, twice %d, later %d, copies %d; %s",
 		s.Seed, strings.Join(s.Kinds(), " "), t.Calls, t.Answered, t.Unknown, t.NotSent, t.Lost, t.RunTwice, t.TakenOver,
-		verdict(t.Broken))
+		t.Copies, verdict(t.Broken))
 }
--- a/internal/lab/fleet/takeover_clients.go
+++ b/internal/lab/fleet/takeover_clients.go
@@ -8,14 +8,12 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"olivebridge/internal/fleet/record"
 	"olivebridge/internal/lab/fault"
 	"olivebridge/internal/lab/figure"
-	"olivebridge/internal/protocol"
 )
 
 const (
@@ -174,17 +172,10 @@
 }
 
 func newAttempt(ctx context.Context, address, key string, attempt int) (*http.Request, error) {
-	text := "pay " + key
-	body := io.NopCloser(strings.NewReader(text)) // net/http cannot rewind this reader, so it never resends the request
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/api?user="+key, body)
+	request, err := newRequest(ctx, address, key, fmt.Sprintf("%s.%d", key, attempt), clientCallClass)
 	if err != nil {
 		return nil, err
 	}
-	request.ContentLength = int64(len(text))
-	request.Header.Set(protocol.HeaderCallID, fmt.Sprintf("%s.%d", key, attempt))
-	request.Header.Set(protocol.HeaderClass, clientCallClass)
-	request.Header.Set(protocol.HeaderTenant, "acme")
-	request.Header.Set(protocol.HeaderTimeout, "1.5")
 	request.Header.Set("Idempotency-Key", key)
 	return request, nil
 }
--- a/internal/lab/fleet/takeover_script.go
+++ b/internal/lab/fleet/takeover_script.go
@@ -19,6 +19,7 @@
 		s.World.Peers[i].Cores = 8
 		s.World.Peers[i].Slots = 8
 	}
+	s.World.Classes = append(s.World.Classes, copiedClass())
 	for i := range s.World.Clients { // only the calls of the scenario's own clients are judged
 		s.World.Clients[i].Mix = map[string]float64{"status": 1}
 	}
@@ -63,7 +64,7 @@
 		DemoScript:   takeoverDemoScript,
 		RandomScript: takeoverRandomScript,
 		QuietScript:  takeoverQuietScript,
-		Cases:        []Case{votersCase(), upgradesCase(), stepsCase()},
+		Cases:        []Case{votersCase(), upgradesCase(), copiesCase(), stepsCase()},
 		ExtraTables: func(v FileValues) string {
 			if !store {
 				return ""
@@ -75,5 +76,9 @@
 			load := &clientLoad{nodes: nodes, retry: retry, script: s}
 			return load.run(ctx)
 		},
+		CopyingClients: func(ctx context.Context, nodes map[string]string, s *fault.Script) []CopiedCall {
+			copying := &copyingClients{nodes: nodes, script: s}
+			return copying.run(ctx)
+		},
 	}
 }
--- a/internal/lab/live/fleet.go
+++ b/internal/lab/live/fleet.go
@@ -110,7 +110,7 @@
 	}
 	c.r.fleetFileRevision = times
 	for _, i := range c.r.nodes {
-		for _, p := range []*child{i.current, i.next, i.duplicate} {
+		for _, p := range []*child{i.previous, i.current, i.next, i.duplicate} {
 			i.reloadFleetFile(p)
 		}
 	}
@@ -145,7 +145,7 @@
 	return i.resume
 }
 
-func (c fleetTarget) Upgrade(node string) { c.r.node(node).upgrade() }
+func (c fleetTarget) Upgrade(node string, overlap time.Duration) { c.r.node(node).upgrade(overlap) }
 
 func (c fleetTarget) StartDuplicate(node string) func() {
 	i := c.r.node(node)
@@ -193,12 +193,14 @@
 	}
 }
 
-// upgrade starts a successor of the current process while that keeps serving. It does nothing if the current process
-// is not serving, is exiting or stopped, or if an upgrade is in progress.
-func (i *instance) upgrade() {
-	if i.current == nil || i.current.terminating || !i.current.serving || i.next != nil || i.stopped != nil {
+// upgrade starts a successor of the current process while that keeps serving. Once the successor serves, both do for
+// the duration overlap. It does nothing if the current process is not serving, is exiting or stopped, or if an upgrade
+// is in progress.
+func (i *instance) upgrade(overlap time.Duration) {
+	if i.current == nil || i.current.terminating || !i.current.serving || i.upgrading() || i.stopped != nil {
 		return
 	}
+	i.overlap = overlap
 	previousExited := i.previousExited
 	c := i.newProcess(false, false)
 	if c == nil {
@@ -216,19 +218,18 @@
 	})
 }
 
-// onServing is called when a process has started to serve. In an upgrade it sends SIGTERM to the predecessor.
+// upgrading reports whether a successor is starting, or serves beside its predecessor.
+func (i *instance) upgrading() bool { return i.next != nil || i.previous != nil }
+
+// onServing is called when a process has started to serve. In an upgrade the predecessor ends after the overlap.
 func (i *instance) onServing(c *child) {
 	switch {
 	case c.mustRefuseStart:
 		i.run.addViolation("refusal", "node %s started in a directory in which it must not", i.c.Name)
 	case c == i.next:
-		predecessor := i.current
-		i.current, i.next = c, nil
+		i.previous, i.current, i.next = i.current, c, nil
 		i.report("upgraded", c)
-		if predecessor != nil {
-			predecessor.terminating = true
-			predecessor.signal(syscall.SIGTERM)
-		}
+		i.endPreviousAfter(i.overlap)
 	case c == i.current:
 		i.report("serves", c)
 	case c == i.duplicate:
@@ -237,6 +238,29 @@
 	i.reloadFleetFile(c)
 }
 
+// endPreviousAfter sends SIGTERM to the predecessor of the current process, if it runs, after a delay.
+func (i *instance) endPreviousAfter(delay time.Duration) {
+	previous := i.previous
+	if delay <= 0 {
+		i.endPrevious(syscall.SIGTERM)
+		return
+	}
+	i.run.loop.After(delay, func() {
+		if i.previous == previous {
+			i.endPrevious(syscall.SIGTERM)
+		}
+	})
+}
+
+// endPrevious ends the predecessor of the current process with a signal, if it runs.
+func (i *instance) endPrevious(signal syscall.Signal) {
+	if i.previous != nil {
+		i.previous.terminating = true
+		i.previous.signal(signal)
+		i.previous = nil
+	}
+}
+
 // killNext aborts an upgrade in progress.
 func (i *instance) killNext() {
 	if i.next != nil {
@@ -256,6 +280,9 @@
 	case i.next:
 		i.next = nil
 		i.run.addViolation("crash", "node %s: the next process ended: %v; it wrote: %s", i.c.Name, err, c.lastLine)
+	case i.previous:
+		i.previous = nil
+		i.run.addViolation("crash", "node %s: the predecessor ended: %v; it wrote: %s", i.c.Name, err, c.lastLine)
 	case i.duplicate:
 		i.duplicate = nil
 		i.run.addViolation("crash", "node %s: the stranger ended: %v; it wrote: %s", i.c.Name, err, c.lastLine)
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -32,10 +32,12 @@
 	previousExited <-chan struct{} // closed when the previous process has exited
 	restart        bool            // start a new process when the current one exits
 
-	next             *child // successor in an upgrade; nil: none
-	duplicate        *child // unrelated process under the node's name; nil: none
-	stopped          *child // process stopped by SIGSTOP; nil: none
-	directoryDamaged bool   // the directory is damaged: processes must refuse to start
+	next             *child        // successor in an upgrade that does not serve yet; nil: none
+	previous         *child        // predecessor that serves beside the current process; nil: none
+	overlap          time.Duration // duration for which both serve in the latest upgrade
+	duplicate        *child        // unrelated process under the node's name; nil: none
+	stopped          *child        // process stopped by SIGSTOP; nil: none
+	directoryDamaged bool          // the directory is damaged: processes must refuse to start
 
 	// tries is the number of attempts sent by the current process, from its counters; earlierProcessTries is the sum
 	// over the earlier processes.
@@ -190,6 +192,7 @@
 	i.report("killed", c)
 	c.signal(syscall.SIGKILL)
 	i.killNext()
+	i.endPrevious(syscall.SIGKILL)
 }
 
 // Down implements fault.Node.
@@ -199,6 +202,7 @@
 func (i *instance) Term() {
 	if c := i.current; c != nil && !c.terminating {
 		i.killNext()
+		i.endPrevious(syscall.SIGTERM)
 		c.terminating = true
 		i.run.front.NodeTerminating(i.c.Name)
 		i.report("told SIGTERM", c)
