Keep the link to a predecessor that hangs at the hand-over

What callers saw: the process in service hung with an order open; its successor logged "hand-over failed", served beside it, and ran a copy of the order a second time.

Cause: the successor closed the link after 2 s and decided alone, while the other process lived. Change: the link stays, and the predecessor counts as one that cannot be asked: calls that must not run twice get 502 until it ends or answers. When it goes on it sends its state late; the two then claim, report, forward commands and hand over connections as in any upgrade. Not taken: a time limit, since a process that hangs sends what lies in its sockets whenever it goes on.

TestHangingPredecessor waits for the end of the killed predecessor before it sends orders, which fail until then; what it checks is as before. routing, handover, node with -race: ok.

--- a/cmd/olivebridge/copied_id_test.go
+++ b/cmd/olivebridge/copied_id_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -45,6 +46,8 @@
 	}
 	t.Cleanup(func() { conn.Close() })
 	fmt.Fprint(conn, "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	defer conn.SetReadDeadline(time.Time{})
 	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != 200 {
 		t.Fatalf("readiness check: got %v, error %v", resp, err)
 	}
@@ -76,6 +79,7 @@
 	for name, c := range map[string]struct {
 		processes    int
 		holder, copy int
+		restart      bool           // the process signaled is told to end before the one that gets the copy starts
 		signal       syscall.Signal // sent to the process signaled, between the call and its copy; 0: none
 		signaled     int
 		states       string // states of the process after the signal
@@ -84,16 +88,17 @@
 		"open in the successor":                  {processes: 2, holder: successor, copy: predecessor},
 		"open in the predecessor's predecessor":  {processes: 3, holder: predecessor, copy: second},
 		"open in the successor's successor":      {processes: 3, holder: second, copy: predecessor},
-		"the predecessor ends":                   {2, predecessor, successor, syscall.SIGTERM, predecessor, "RSD"},
-		"the successor ends":                     {2, successor, predecessor, syscall.SIGTERM, successor, "RSD"},
-		"the predecessor dies":                   {2, predecessor, successor, syscall.SIGKILL, predecessor, "ZX"},
-		"the successor dies":                     {2, successor, predecessor, syscall.SIGKILL, successor, "ZX"},
-		"the predecessor hangs":                  {2, predecessor, successor, syscall.SIGSTOP, predecessor, "T"},
-		"the successor hangs":                    {2, successor, predecessor, syscall.SIGSTOP, successor, "T"},
-		"the process between the two dies":       {3, predecessor, second, syscall.SIGKILL, successor, "ZX"},
-		"the first of three processes has died":  {3, predecessor, second, syscall.SIGKILL, predecessor, "ZX"},
-		"the last of three processes has died":   {3, second, predecessor, syscall.SIGKILL, second, "ZX"},
-		"the first of three processes is ending": {3, predecessor, second, syscall.SIGTERM, predecessor, "RSD"},
+		"the predecessor ends":                   {2, predecessor, successor, false, syscall.SIGTERM, predecessor, "RSD"},
+		"a planned restart":                      {1, predecessor, successor, true, syscall.SIGTERM, predecessor, "RSD"},
+		"the successor ends":                     {2, successor, predecessor, false, syscall.SIGTERM, successor, "RSD"},
+		"the predecessor dies":                   {2, predecessor, successor, false, syscall.SIGKILL, predecessor, "ZX"},
+		"the successor dies":                     {2, successor, predecessor, false, syscall.SIGKILL, successor, "ZX"},
+		"the predecessor hangs":                  {2, predecessor, successor, false, syscall.SIGSTOP, predecessor, "T"},
+		"the successor hangs":                    {2, successor, predecessor, false, syscall.SIGSTOP, successor, "T"},
+		"the process between the two dies":       {3, predecessor, second, false, syscall.SIGKILL, successor, "ZX"},
+		"the first of three processes has died":  {3, predecessor, second, false, syscall.SIGKILL, predecessor, "ZX"},
+		"the last of three processes has died":   {3, second, predecessor, false, syscall.SIGKILL, second, "ZX"},
+		"the first of three processes is ending": {3, predecessor, second, false, syscall.SIGTERM, predecessor, "RSD"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -107,12 +112,15 @@
 			n.env = append(n.env, "ROUTER_ADMIN="+freeAddr(t))
 			n.launch(t)
 			processes := []*process{n}
-			for len(processes) < c.processes {
+			startNext := func() {
 				next, _ := processes[len(processes)-1].startSuccessor(t)
 				next.addr = n.addr
 				processes[len(processes)-1].waitForLog(t, "successor takes clients")
 				processes = append(processes, next)
 			}
+			for len(processes) < c.processes {
+				startNext()
+			}
 			connect := func(to int) net.Conn {
 				var others []*process
 				for i, other := range processes {
@@ -122,7 +130,11 @@
 				}
 				return connectTo(t, processes[to], others...)
 			}
-			original, copied := connect(c.holder), connect(c.copy)
+			original := connect(c.holder)
+			var copied net.Conn
+			if !c.restart {
+				copied = connect(c.copy)
+			}
 			id := fmt.Sprint("copied-", lastCallID.Add(1))
 			answer := sendBook(original, id)
 			<-running
@@ -130,6 +142,10 @@
 			if c.signal != 0 {
 				processes[c.signaled].signalAndWait(t, c.signal, c.states)
 			}
+			if c.restart {
+				startNext()
+				copied = connect(c.copy)
+			}
 			select {
 			case status := <-sendBook(copied, id):
 				if status < 400 {
@@ -155,6 +171,69 @@
 	}
 }
 
+// TestCopiedIDBesideHangingPredecessor guards against a call that runs twice because the predecessor hangs when the
+// successor starts, which then shares its address and knows nothing of its calls.
+func TestCopiedIDBesideHangingPredecessor(t *testing.T) {
+	t.Setenv("ROUTER_ADMIN", freeAddr(t))
+	s := newRuleChecker()
+	running, release := make(chan bool, 10), make(chan bool)
+	n := prepare(t, config, unchangedList, s.recordingHandler("s-0", func(http.ResponseWriter, *http.Request) {
+		running <- true
+		<-release
+	}))
+	finish := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(finish) // before the server waits for its requests
+	n.env[1] = "ROUTER_LISTEN=" + freeAddr(t)
+	n.launch(t)
+	id := fmt.Sprint("copied-", lastCallID.Add(1))
+	answer := sendBook(connectTo(t, n), id)
+	<-running
+	n.signalAndWait(t, syscall.SIGSTOP, "T")
+	next := n.newProcess("ROUTER_ADMIN=" + freeAddr(t))
+	next.launchWithoutWaiting(t)
+	next.waitForLog(t, "hand-over failed")
+	next.readAddr(t, next.waitForLog(t, "msg=started"))
+	status := <-sendBook(connectToAny(t, next), id)
+	s.mu.Lock()
+	runs := s.request(id).mayHaveRun
+	s.mu.Unlock()
+	if status < 400 || runs != 1 {
+		t.Fatalf("the copy got status %d, and the call ran %d times; want an error and once", status, runs)
+	}
+	later := connectToAny(t, next)
+	n.signalAndWait(t, syscall.SIGCONT, "RSD")
+	next.waitForLog(t, "predecessor answers after all")
+	n.waitForLog(t, "successor takes clients")
+	finish()
+	<-answer
+	if status := <-sendBook(later, id+"-next"); status != 200 {
+		t.Errorf("once the predecessor goes on, a call got status %d, want 200", status)
+	}
+	n.shutdown(t)
+	next.shutdown(t)
+}
+
+// connectToAny returns a connection that a running process has accepted. Another one, which is stopped, shares the
+// address, and some connections wait in its queue.
+func connectToAny(t *testing.T, n *process) net.Conn {
+	t.Helper()
+	for range 100 {
+		conn, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		fmt.Fprint(conn, "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+		conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			conn.SetReadDeadline(time.Time{})
+			return conn
+		}
+	}
+	t.Fatal("no connection was accepted")
+	return nil
+}
+
 // launchBehindEarlierBuild launches a process whose predecessor, played by the test, is of an earlier build. It returns
 // the predecessor's end of the link and its listener for clients.
 func (n *process) launchBehindEarlierBuild(t *testing.T) (*handover.Link, net.Listener) {
--- a/cmd/olivebridge/handover_failures_test.go
+++ b/cmd/olivebridge/handover_failures_test.go
@@ -258,6 +258,7 @@
 	next.readAddr(t, next.waitForLog(t, "msg=started"))
 	n.cmd.Process.Kill() // it has no open request; while it lives, new connections assigned to it would hang
 	n.cmd.Wait()
+	next.waitForLog(t, "other process has ended") // until then, calls that must not run twice fail
 	for range 20 {
 		if status, _ := s.call(t, next.addr, "book", strings.NewReader("paid")); status != 200 {
 			t.Errorf("got status %d, want 200", status)
--- a/internal/handover/takeover.go
+++ b/internal/handover/takeover.go
@@ -24,8 +24,22 @@
 	Listener net.Listener
 }
 
+// UnresponsiveError reports that the process in service has not sent its state in time. The link stays open, so that
+// the caller notices when that process answers after all, or ends; the caller must close it.
+type UnresponsiveError struct {
+	Link *Link
+	err  error
+}
+
+// Error implements error.
+func (e *UnresponsiveError) Error() string { return e.err.Error() }
+
+// Unwrap returns the error of the read that timed out.
+func (e *UnresponsiveError) Unwrap() error { return e.err }
+
 // Connect connects to the process in service that listens at path, and receives its state and its listener. A nil
-// Takeover without an error means that there is no such process.
+// Takeover without an error means that there is no such process. If it does not answer, the error is an
+// UnresponsiveError.
 func Connect(path string) (*Takeover, error) {
 	addr, release, err := socketAddr(path)
 	if err != nil {
@@ -44,6 +58,9 @@
 	}
 	link := newLink(conn)
 	state, listener, err := link.receiveState()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &UnresponsiveError{Link: link, err: err}
+	}
 	if err != nil {
 		link.Close()
 		return nil, err
--- a/internal/node/process_group.go
+++ b/internal/node/process_group.go
@@ -15,6 +15,9 @@
 	successor      *handover.Link     // nil: there is no successor
 	successorReady bool               // the successor accepts clients
 	ending         bool               // close was called
+	// tookOver reports whether the predecessor has handed over its listener and its state. It is immutable once the
+	// node's goroutines run.
+	tookOver bool
 	// predecessorAnswersClaims reports whether the predecessor answers claims of calls. It is immutable once the node's
 	// goroutines run.
 	predecessorAnswersClaims bool
--- a/internal/node/process_messages.go
+++ b/internal/node/process_messages.go
@@ -41,6 +41,8 @@
 		link.Resolve(message)
 	case handover.KindConnection:
 		n.handleConnection(file)
+	case handover.KindListener:
+		n.handleLateState(link, message)
 	case handover.KindClaim, handover.KindClaimResult, handover.KindOpened, handover.KindClosed:
 		n.handleCalls(link, message)
 	}
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"net"
 
@@ -17,6 +18,9 @@
 		return nil, false
 	}
 	takeover, err := n.connectToPredecessor()
+	if unresponsive, ok := errors.AsType[*handover.UnresponsiveError](err); ok {
+		n.processes.predecessor = unresponsive.Link // needs no lock: no other goroutine is running yet
+	}
 	if err != nil {
 		n.log.Warn("hand-over failed", "reason", err.Error())
 		return nil, false
@@ -25,6 +29,7 @@
 		return nil, false
 	}
 	n.processes.predecessor = takeover.Link // needs no lock: no other goroutine is running yet
+	n.processes.tookOver = true
 	n.processes.predecessorAnswersClaims = takeover.State.AnswersClaims
 	if !takeover.State.AnswersClaims {
 		n.log.Warn("predecessor does not answer", "calls", "those that must not run twice fail until it ends",
@@ -101,9 +106,26 @@
 	}
 	if predecessor := n.processes.predecessor; predecessor != nil { // needs no lock: only receive, started here, clears it
 		n.processes.running.Go(func() { n.receive(predecessor) })
-		if err := predecessor.Request(handover.Message{Kind: handover.KindReady}); err != nil {
-			n.log.Warn("hand-over failed", "reason", err.Error())
+		if n.processes.tookOver {
+			n.reportReady(predecessor)
 		}
 	}
 	n.awaitSuccessor()
 }
+
+// reportReady notifies the predecessor that this process accepts clients.
+func (n *Node) reportReady(predecessor *handover.Link) {
+	if err := predecessor.Request(handover.Message{Kind: handover.KindReady}); err != nil {
+		n.log.Warn("hand-over failed", "reason", err.Error())
+	}
+}
+
+// handleLateState handles the last message of the state of a predecessor that did not answer in time. This process
+// already has a listener and an endpoint list of its own, but the two are one node from now on.
+func (n *Node) handleLateState(link *handover.Link, message handover.Message) {
+	n.log.Info("predecessor answers after all", "claims", message.AnswersClaims)
+	if message.AnswersClaims {
+		n.router.PredecessorAnswers(linkedProcess{link})
+	}
+	n.processes.running.Go(func() { n.reportReady(link) })
+}
--- a/internal/routing/peer_events.go
+++ b/internal/routing/peer_events.go
@@ -26,6 +26,18 @@
 	}
 }
 
+// PredecessorAnswers makes the Router claim its calls from a predecessor of which it did not know that it answers.
+func (r *Router) PredecessorAnswers(p PeerProcess) { r.post(predecessorEvent{p}) }
+
+type predecessorEvent struct{ predecessor PeerProcess }
+
+func (e predecessorEvent) handle(r *Router) {
+	if r.peers.predecessor.Process == e.predecessor {
+		r.peers.predecessor.AnswersClaims = true
+		r.peers.responsive = true
+	}
+}
+
 // HandleClaim handles a claim of the successor. The Router answers it with PeerProcess.AnswerClaim, unless its own
 // predecessor does not answer in time.
 func (r *Router) HandleClaim(from PeerProcess, number uint64, call OpenCall) {
