--- a/cmd/olivefleet/call_store.go
+++ b/cmd/olivefleet/call_store.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"sync/atomic"
 
 	"olivebridge/balancer"
 	"olivebridge/internal/fleet/callstore"
@@ -19,9 +20,27 @@
 // transport.IdempotencyStore.
 type callStore struct {
 	service *callstore.Service
-	// idempotent has an entry for each class whose calls are stored, by the position of the class. The value is whether a
-	// call of the class may run more than once.
-	idempotent map[int]bool
+	// idempotent is replaced when the configuration is reloaded. Calls keep the value with which they began.
+	idempotent atomic.Pointer[idempotentClasses]
+}
+
+// idempotentClasses has an entry for each class whose calls are stored, by the position of the class. The value is
+// whether a call of the class may run more than once.
+type idempotentClasses map[int]bool
+
+// newIdempotentClasses returns the entries for the named classes. It returns an error if the configuration lacks one of
+// them.
+func newIdempotentClasses(names []string, c *protocol.Config) (idempotentClasses, error) {
+	classes := idempotentClasses{}
+	for _, name := range names {
+		class, known := c.NameIndex.Classes[name]
+		if !known {
+			return nil, fmt.Errorf("fleet file %s: work.classes: the configuration does not know %q",
+				os.Getenv(protocol.EnvFleet), name)
+		}
+		classes[class] = c.Settings.Classes[class].Idempotency == balancer.Idempotent
+	}
+	return classes, nil
 }
 
 var _ transport.IdempotencyStore = (*callStore)(nil)
@@ -30,15 +49,12 @@
 // in the fleet file.
 func (f *fleetNode) addCallStore(c *protocol.Config, m *member.Config) error {
 	work := f.file.Work
-	s := &callStore{idempotent: map[int]bool{}}
-	for _, name := range work.Classes {
-		class, known := c.NameIndex.Classes[name]
-		if !known {
-			return fmt.Errorf("fleet file %s: work.classes: the configuration does not know %q",
-				os.Getenv(protocol.EnvFleet), name)
-		}
-		s.idempotent[class] = c.Settings.Classes[class].Idempotency == balancer.Idempotent
+	classes, err := newIdempotentClasses(work.Classes, c)
+	if err != nil {
+		return err
 	}
+	s := &callStore{}
+	s.idempotent.Store(&classes)
 	s.service = callstore.New(callstore.Config{
 		Name:      c.Name,
 		Voters:    raftlog.VoterSet{Edition: work.Edition, Names: work.Voters},
@@ -61,10 +77,13 @@
 
 // Covers implements transport.IdempotencyStore.
 func (s *callStore) Covers(class int) bool {
-	_, covered := s.idempotent[class]
+	_, covered := (*s.idempotent.Load())[class]
 	return covered
 }
 
+// isIdempotent reports whether a call of a class that begins now may run more than once.
+func (s *callStore) isIdempotent(class int) bool { return (*s.idempotent.Load())[class] }
+
 // Begin implements transport.IdempotencyStore.
 func (s *callStore) Begin(ctx context.Context, call transport.KeyedCall) transport.CallClaim {
 	owner, ok := s.service.NewOwner()
@@ -76,7 +95,7 @@
 		Key:         call.Key,
 		Fingerprint: call.Fingerprint,
 		Owner:       owner,
-		Idempotent:  s.idempotent[call.Class],
+		Idempotent:  s.isIdempotent(call.Class),
 	})
 	if err != nil {
 		return transport.CallClaim{State: transport.CallStoreUnavailable}
--- a/internal/fleet/callstore/ledger.go
+++ b/internal/fleet/callstore/ledger.go
@@ -93,6 +93,7 @@
 	case e.Owners >= max(request.MaxOwners, 1):
 		return BeginResult{OwnersExhausted: true}
 	}
+	e.Idempotent = request.Idempotent // a reload may have changed the class since the last owner
 	e.Owners++
 	l.update(e, request.Owner, Running)
 	return BeginResult{Granted: true}
--- a/internal/fleet/callstore/ledger_test.go
+++ b/internal/fleet/callstore/ledger_test.go
@@ -167,3 +167,26 @@
 		t.Errorf("ReleaseRequest encoded as %s, want %s (error %v)", got, want, err)
 	}
 }
+
+// TestChangedIdempotency guards against a call that runs twice after a reload: a free call that begins again has the
+// idempotency of its new owner's request, which decides what becomes of it when that owner is lost.
+func TestChangedIdempotency(t *testing.T) {
+	l := newLedger()
+	begin := func(owner Owner, idempotent bool) BeginResult {
+		request := BeginRequest{Key: "k", Fingerprint: "f", Owner: owner, Idempotent: idempotent, MaxOwners: 3}
+		return apply(t, l, command{Begin: &request}).(BeginResult)
+	}
+	lose := func(o Owner) { apply(t, l, command{Release: &ReleaseRequest{Processes: []process{o.process()}}}) }
+	first, second := Owner{"n1", "h/1", 1}, Owner{"n2", "h/1", 1}
+	if got := begin(first, true); !got.Granted {
+		t.Fatalf("got %+v, want the call granted", got)
+	}
+	lose(first)
+	if got := begin(second, false); !got.Granted { // the class has changed meanwhile
+		t.Fatalf("got %+v, want the free call granted", got)
+	}
+	lose(second)
+	if got := begin(Owner{"n3", "h/1", 1}, false); got.Granted || got.State != Unknown {
+		t.Errorf("after the loss of the second owner: got %+v, want the call unknown", got)
+	}
+}
