Do not close a connection as idle once a byte of a request was read

Cause: http.Server waits for the first four bytes of a request under its idle time-out and closes silently when it expires; connDeadlines passed that deadline on whatever the connection's own state. The README promises that a connection is closed only while no byte of a request has been read. Change: the first byte of a request on a kept connection moves a sooner deadline to headTimeout behind it. The first request of a connection keeps its deadline from the accept (an end within 3 s of connecting). Not taken: a longer idle time-out, which holds descriptors of idle clients.

--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -64,6 +64,11 @@
 	if c.state.beginRequest() {
 		c.requestStartedAt = time.Now()
 		c.responseWritten.Store(false)
+		if c.responseCount > 0 {
+			// Until four bytes have arrived, http.Server waits for the request under the deadline of an idle connection, and
+			// closes the connection without an answer when it expires.
+			c.extendIdleDeadline(c.requestStartedAt.Add(headTimeout))
+		}
 	}
 	c.moveTo(nil)
 	c.lastReadAt = time.Now()
--- a/internal/transport/client_deadlines.go
+++ b/internal/transport/client_deadlines.go
@@ -99,6 +99,15 @@
 	return c.Conn.SetReadDeadline(d.read)
 }
 
+// extendIdleDeadline moves a read deadline that comes before the given time to that time, from the next read on.
+func (c *clientConn) extendIdleDeadline(until time.Time) {
+	c.deadlines.mu.Lock()
+	defer c.deadlines.mu.Unlock()
+	if d := c.deadlines.read; !d.IsZero() && d.Before(until) {
+		c.deadlines.read = until
+	}
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.deadlines.mu.Lock()
--- a/internal/transport/frontend_test.go
+++ b/internal/transport/frontend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -40,6 +41,33 @@
 	}
 }
 
+// TestHeadInPiecesAfterIdle guards against a request that gets no answer because its first bytes, fewer than
+// http.Server waits for, arrive shortly before the deadline of the idle connection. One that stays incomplete ends the
+// connection within headTimeout of its first byte.
+func TestHeadInPiecesAfterIdle(t *testing.T) {
+	addr, _, _ := newTestFrontend(t, 10, nil, func(f *Frontend) { f.server.IdleTimeout = 300 * time.Millisecond })
+	for size := 1; size <= 4; size++ {
+		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
+			t.Parallel()
+			whole, broken := dialClient(t, addr), dialClient(t, addr)
+			whole.roundTrip(t, readyRequest)
+			broken.roundTrip(t, readyRequest)
+			time.Sleep(200 * time.Millisecond)
+			io.WriteString(whole, readyRequest[:size])
+			io.WriteString(broken, readyRequest[:size])
+			begun := time.Now()
+			time.Sleep(400 * time.Millisecond)
+			if resp, _ := whole.roundTrip(t, readyRequest[size:]); resp.StatusCode != 200 {
+				t.Errorf("status %d, want 200", resp.StatusCode)
+			}
+			broken.SetReadDeadline(begun.Add(3 * time.Second))
+			if _, err := io.Copy(io.Discard, broken); err != nil {
+				t.Errorf("a request that stays incomplete: %v, want an end within 3 s", err)
+			}
+		})
+	}
+}
+
 func TestAnswersOnTheWire(t *testing.T) {
 	var a routing.Answer
 	addr, _, _ := newTestFrontend(t, 10, func(ctx context.Context, c routing.Call) (routing.Answer, bool) {
