Read the predecessor's answers before the first command is forwarded

What operators saw: FLEET SUSPEND, an upgrade, FLEET RESTORE with SUCCESS: the server stayed suspended at that node. Its log had not-suspended, its start took 0.6 s more for each such server.

Cause: a starting process suspends the fleet's servers in all processes of the node before it reads the link, so the predecessor's answer was not read and the command timed out; later the suspension, which did hold, was taken for an operator's. Change: the link is read as soon as the process can execute commands, and the paused state is applied before that. Not taken: to ignore errors at the start, which would hide a process that hangs.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -49,7 +49,7 @@
 	if n.options.Fleet == nil {
 		return nil
 	}
-	if err := n.options.Fleet.Join(n.processes.hasPredecessor()); err != nil {
+	if err := n.options.Fleet.Join(n.processes.predecessorLink() != nil); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
 	return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,8 +73,8 @@
 		n.closeAdmin()
 		return nil, fmt.Errorf("listening: %w", err)
 	}
-	n.buildComponents()
-	n.startComponents(paused)
+	n.buildComponents(paused)
+	n.startComponents()
 	if err := n.joinFleet(); err != nil {
 		n.Abort()
 		return nil, err
@@ -133,8 +133,9 @@
 	return false, err
 }
 
-// buildComponents creates the transport, the router and the frontend without starting them.
-func (n *Node) buildComponents() {
+// buildComponents creates the transport, the router and the frontend without starting them. From then on it handles the
+// messages of the predecessor. paused is the state in which the frontend starts.
+func (n *Node) buildComponents(paused bool) {
 	c := n.config
 	share := handover.ResourceShare(n.processes.count())
 	if n.options.ApplyLimits != nil {
@@ -173,18 +174,18 @@
 		frontend.IdempotencyStore = fleet.IdempotencyStore()
 	}
 	n.frontend = transport.NewFrontend(frontend)
+	if paused {
+		n.frontend.Pause()
+	}
+	n.receiveFromPredecessor()
 	n.attachServerControl()
 }
 
-// startComponents starts router and frontend, and then completes the takeover from the predecessor. paused is the state
-// in which the frontend starts.
-func (n *Node) startComponents(paused bool) {
+// startComponents starts router and frontend, and then completes the takeover from the predecessor.
+func (n *Node) startComponents() {
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	n.runComponent(func() error { return n.router.Run(ctx) })
-	if paused {
-		n.frontend.Pause()
-	}
 	n.runComponent(n.frontend.ServeAdopted)
 	n.runComponent(n.frontend.Serve)
 	n.completeTakeover()
--- a/internal/node/process_group.go
+++ b/internal/node/process_group.go
@@ -48,10 +48,11 @@
 	return links
 }
 
-func (g *processGroup) hasPredecessor() bool {
+// predecessorLink returns the link to the predecessor; nil: there is none.
+func (g *processGroup) predecessorLink() *handover.Link {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.predecessor != nil
+	return g.predecessor
 }
 
 func (g *processGroup) setSuccessor(link *handover.Link) {
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -104,13 +104,18 @@
 	if !n.canHandOver() {
 		return
 	}
+	if predecessor := n.processes.predecessorLink(); predecessor != nil && n.processes.tookOver {
+		n.reportReady(predecessor)
+	}
+	n.awaitSuccessor()
+}
+
+// receiveFromPredecessor starts to handle the messages of the predecessor. That must precede the first command which
+// this process forwards: the predecessor's answers are among the messages.
+func (n *Node) receiveFromPredecessor() {
 	if predecessor := n.processes.predecessor; predecessor != nil { // needs no lock: only receive, started here, clears it
 		n.processes.running.Go(func() { n.receive(predecessor) })
-		if n.processes.tookOver {
-			n.reportReady(predecessor)
-		}
 	}
-	n.awaitSuccessor()
 }
 
 // reportReady notifies the predecessor that this process accepts clients.
