--- a/internal/lab/fleet/choices.go
+++ b/internal/lab/fleet/choices.go
@@ -2,17 +2,11 @@
 
 import (
 	"fmt"
-	"math"
-	"slices"
 	"strings"
 	"time"
 
 	"olivebridge/internal/lab/fault"
-	"olivebridge/internal/lab/figure"
-	"olivebridge/internal/lab/live"
-)
-
-// The load during runs that examine the choices of servers. It is high for each peer, because at a low load the random
+) // The load during runs that examine the choices of servers. It is high for each peer, because at a low load the random
 // differences between peers are large.
 const (
 	requestsPerPeer = 50.0   // requests per second and peer
@@ -42,79 +36,6 @@
 	minSettledRatio = 0.85
 )
 
-// choicesQuietScript returns a script without faults with the given number of identical peers and an even load.
-func choicesQuietScript(peers int) quietScriptMaker {
-	return func(seed uint64, nodes int, length time.Duration) *fault.Script {
-		s := live.Sample(peers, nodes, min(requestsPerPeer*float64(peers), maxRequestRate))
-		s.Seed = seed
-		s.Length = figure.Span(length)
-		for i := range s.World.Clients {
-			client := &s.World.Clients[i]
-			client.Keys = choicesKeys
-			client.Zipf = 0
-			client.Mix = map[string]float64{"status": 1}
-			client.Fresh = 1
-			client.Keep = 0
-		}
-		for i := range s.World.Tenants {
-			s.World.Tenants[i].Quota = 0
-		}
-		return s
-	}
-}
-
-// choicesDemoScript returns the script that demonstrates choices: one process is killed and started again.
-func choicesDemoScript(peers int) scriptMaker {
-	return func(seed uint64, nodes int, length time.Duration) (*fault.Script, error) {
-		demo, err := BudgetDemoScript(seed, nodes, length)
-		if err != nil {
-			return nil, err
-		}
-		s := choicesQuietScript(peers)(seed, nodes, length)
-		s.Faults = demo.Faults
-		return s, s.Check()
-	}
-}
-
-// choicesRandomScript returns a script, drawn by the seed, in which nodes and peers die, stop, are slow or are cut off,
-// several at one time.
-func choicesRandomScript(peers int) scriptMaker {
-	return func(seed uint64, nodes int, length time.Duration) (*fault.Script, error) {
-		s := choicesQuietScript(peers)(seed, nodes, length)
-		kind := func(name string, weight, lo, hi float64) fault.KindRanges {
-			return fault.KindRanges{Name: name, Weight: weight, Part: fault.Range{Lo: 0.05, Hi: 0.3},
-				For: fault.SecondsRange(lo, hi)}
-		}
-		slow := kind("slow", 3, 2, 8)
-		slow.Factor = fault.Range{Lo: 2, Hi: 6}
-		tail := figure.Span(settleTail)
-		s.DrawFaults([]fault.KindRanges{kind("death", 8, 2, 8), slow, kind("stall", 3, 1, 4), kind("node-kill", 8, 2, 10),
-			kind("node-restart", 4, 2.5, 8), kind("fleet-stop", 4, 1, 6), kind("fleet-split", 4, 2, 10)},
-			fault.FaultPlan{Count: fault.Counts{Lo: 1, Hi: 3}, Lead: fault.SecondsRange(6, 8),
-				Tail: fault.Spans{Lo: tail, Hi: tail}, Overlap: 0.4})
-		last := s.Length - tail
-		s.Faults = slices.DeleteFunc(s.Faults, func(f fault.Fault) bool { return f.Ends() > last })
-		return s, s.Check()
-	}
-}
-
-// ChoicesScenario examines how the choices of all processes add up on the peers. If copies is positive, each peer is in
-// the subsets of that many processes, and least is the minimum size of a subset.
-func ChoicesScenario(peers, copies, least int) Scenario {
-	tables := ""
-	if copies > 0 {
-		tables = fmt.Sprintf("\n[choices]\ncopies = %d\nleast = %d\n", copies, least)
-	}
-	return Scenario{
-		Name:         "choices",
-		DemoScript:   choicesDemoScript(peers),
-		RandomScript: choicesRandomScript(peers),
-		QuietScript:  choicesQuietScript(peers),
-		ExtraTables:  func(FileValues) string { return tables },
-		Judge:        func(s *fault.Script, a *Account) Outcome { return JudgeChoices(s, a) },
-	}
-}
-
 // Choices is the result of a run that examines the distribution of attempts over the peers.
 type Choices struct {
 	Nodes   int     `json:"nodes"`
@@ -143,14 +64,6 @@
 	Idlest  float64 `json:"idlest"`
 }
 
-// peerLoads evaluates the loads of peers in windows.
-type peerLoads struct {
-	account  *Account
-	script   *fault.Script
-	index    map[string]int    // of each peer's entry in arrivals
-	arrivals [][]time.Duration // of each peer, ordered by time
-}
-
 // JudgeChoices checks the distribution of a run's attempts over the peers.
 func JudgeChoices(s *fault.Script, a *Account) *Choices {
 	c := &Choices{
@@ -225,148 +138,6 @@
 	}
 }
 
-// peerLoad is the load of a peer in one window.
-type peerLoad struct {
-	peer  string
-	at    time.Duration // start of the window
-	ratio float64       // weighted load / mean of all healthy peers
-}
-
-// windowLoads is the evaluation of all windows of one length.
-type windowLoads struct {
-	windows      int
-	mean         float64 // attempts per peer and window
-	busiest      peerLoad
-	idlest       peerLoad
-	starved      []peerLoad // the first window in which each starved peer had no attempt
-	healthyPeers int        // minimum number of healthy peers in any window
-}
-
-// measure evaluates all windows of a length, or only the settled ones.
-func (u *peerLoads) measure(length time.Duration, settled bool) *windowLoads {
-	w := &windowLoads{healthyPeers: len(u.arrivals), idlest: peerLoad{ratio: math.Inf(1)}}
-	for t := u.account.Begin + settleTime; t+length <= u.account.End; t += windowStep {
-		if !settled || !u.hasChange(t-settleTime, t+length) {
-			u.measureWindow(w, t, length)
-		}
-	}
-	if w.windows == 0 {
-		w.idlest.ratio = 0
-		return w
-	}
-	w.mean /= float64(w.windows)
-	return w
-}
-
-// measureWindow evaluates one window, unless it has no attempts or fewer than two healthy peers.
-func (u *peerLoads) measureWindow(w *windowLoads, begin, length time.Duration) {
-	loads, mean := u.healthyLoads(begin, length)
-	sum := 0.0
-	for _, load := range loads {
-		sum += load.count
-	}
-	if sum == 0 || len(loads) < 2 {
-		return
-	}
-	perPeer := sum / float64(len(loads))
-	w.windows++
-	w.healthyPeers = min(w.healthyPeers, len(loads))
-	w.mean += perPeer
-	for _, load := range loads {
-		one := peerLoad{peer: load.peer, at: begin, ratio: load.weighted / mean}
-		if one.ratio > w.busiest.ratio {
-			w.busiest = one
-		}
-		if one.ratio < w.idlest.ratio {
-			w.idlest = one
-		}
-		if load.count == 0 && perPeer >= minStarvedMean {
-			w.addStarved(one)
-		}
-	}
-}
-
-// maxStarved is the maximum number of starved peers that are reported.
-const maxStarved = 20
-
-func (w *windowLoads) addStarved(load peerLoad) {
-	known := slices.ContainsFunc(w.starved, func(other peerLoad) bool { return other.peer == load.peer })
-	if !known && len(w.starved) < maxStarved {
-		w.starved = append(w.starved, load)
-	}
-}
-
-// healthyLoad is the load of a healthy peer in a window.
-type healthyLoad struct {
-	peer     string
-	count    float64
-	weighted float64 // count divided by the peer's weight
-}
-
-// healthyLoads returns the loads of all peers without a fault in a window, and the mean load per unit of weight.
-func (u *peerLoads) healthyLoads(begin, length time.Duration) (loads []healthyLoad, mean float64) {
-	sum, weight := 0.0, 0.0
-	for i, p := range u.script.World.Peers {
-		if u.wasFaulty(p.Name, begin, begin+length) {
-			continue
-		}
-		count := countBetween(u.arrivals[i], begin, begin+length)
-		loads = append(loads, healthyLoad{peer: p.Name, count: count, weighted: count / p.Weight})
-		sum += count
-		weight += p.Weight
-	}
-	return loads, sum / weight
-}
-
-// hasChange reports whether any event or fault affected a process or a peer between two instants.
-func (u *peerLoads) hasChange(from, to time.Duration) bool {
-	for _, e := range u.account.Events {
-		if e.At > from && e.At < to && e.At > u.account.Begin {
-			return true
-		}
-	}
-	for _, f := range u.script.Faults {
-		at, end := u.account.Begin+f.At.D(), u.account.Begin+f.Ends().D()
-		if at < to && end > from {
-			return true
-		}
-	}
-	return false
-}
-
-// wasFaulty reports whether a fault affected a peer between two instants, or ended less than warmUpTime before them.
-func (u *peerLoads) wasFaulty(peer string, from, to time.Duration) bool {
-	for _, f := range u.script.Faults {
-		begin := u.account.Begin + f.At.D()
-		end := u.account.Begin + f.Ends().D() + warmUpTime
-		if slices.Contains(f.Peers, peer) && begin < to && end > from {
-			return true
-		}
-	}
-	return false
-}
-
-// simulateChance simulates a random choice in as many windows as the evaluated ones contain without overlap, each with
-// the mean number of attempts.
-func (u *peerLoads) simulateChance(w *windowLoads) Chance {
-	chance := Chance{Idlest: 1}
-	if w.windows == 0 {
-		return chance
-	}
-	random := figure.Stream(u.script.Seed, "choices by chance")
-	windowCount := max(w.windows*int(windowStep)/int(anyWindow), 1)
-	attempts := int(w.mean * float64(w.healthyPeers))
-	for range windowCount {
-		counts := make([]int, w.healthyPeers)
-		for range attempts {
-			counts[random.IntN(w.healthyPeers)]++
-		}
-		chance.Busiest = max(chance.Busiest, float64(slices.Max(counts))/w.mean)
-		chance.Idlest = min(chance.Idlest, float64(slices.Min(counts))/w.mean)
-	}
-	return chance
-}
-
 // probeRate returns the number of health checks per second at all peers together.
 func probeRate(a *Account) float64 {
 	var counts []ProbeCount
@@ -382,15 +153,6 @@
 	return float64(last.Probes-first.Probes) / (last.At - first.At).Seconds()
 }
 
-// cpuShare returns the mean CPU use of a process, as a fraction of a core.
-func (u *peerLoads) cpuShare() float64 {
-	var sum time.Duration
-	for _, d := range u.account.CPU {
-		sum += d
-	}
-	return sum.Seconds() / (u.account.End - u.account.Begin).Seconds() / float64(max(len(u.account.Names), 1))
-}
-
 // Verdict returns the rules that the run broke.
 func (c *Choices) Verdict() []Violation { return c.Broken }
 
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -6,9 +6,7 @@
 package live
 
 import (
-	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -24,13 +22,9 @@
 	"olivebridge/internal/lab/loop"
 	"olivebridge/internal/lab/sample"
 	"olivebridge/internal/lab/sockets"
-	"olivebridge/internal/lab/world"
 	"olivebridge/internal/lab/world/client"
-	"olivebridge/internal/lab/world/peer"
 	"olivebridge/internal/lab/world/registry"
-)
-
-// Options configure a run.
+) // Options configure a run.
 type Options struct {
 	Node   string        // path of the node's program
 	Dir    string        // directory for the nodes' configurations and logs
@@ -140,68 +134,6 @@
 	return nil
 }
 
-// build creates all parts of a run. Only discovery, the peers without Late and the
-// front are running afterwards.
-func (r *Run) build() error {
-	s, c := r.script, &r.script.World
-	r.net.Seed = s.Seed
-	for _, n := range c.Nodes {
-		r.net.AddNode(n.Name)
-	}
-	r.placeHosts()
-	observer := worldObserver{run: r}
-	var err error
-	if r.registry, err = registry.New(c.Discovery, c.Peers, registry.Env{
-		Loop: r.loop, Fabric: r.net, Seed: s.Seed, Observer: observer,
-	}); err != nil {
-		return err
-	}
-	r.discovery = c.Discovery.Addr
-	for _, p := range c.Peers {
-		one := &peerHost{run: r, c: p, Peer: peer.New(p, peer.Env{
-			Loop: r.loop, Fabric: r.net, Seed: s.Seed, Observer: observer, Classes: c.Classes, Registrar: r.registry,
-			Attempts: r.checker,
-		})}
-		r.peers = append(r.peers, one)
-		if p.Late {
-			continue
-		}
-		if one.started = true; one.Peer.Start(true) != nil {
-			return fmt.Errorf("peer %s did not start", p.Name)
-		}
-	}
-	r.front = client.NewFront(c.Front, c.Nodes, client.FrontEnv{Loop: r.loop, Fabric: r.net, Seed: s.Seed})
-	env := client.Env{
-		Loop: r.loop, Fabric: r.net, Seed: s.Seed, Observer: observer, Classes: c.Classes, Tenants: c.Tenants,
-		Front: r.front, Contract: c.Contract, OnRequestEnd: r.reporter.request, OnResponse: r.checker.checkResponse,
-	}
-	for _, one := range c.Clients {
-		r.crowds = append(r.crowds, client.New(one, env))
-	}
-	for _, n := range c.Nodes {
-		r.nodes = append(r.nodes, &instance{run: r, c: n, listenAddr: r.net.Resolve(n.Name + nodePort)})
-	}
-	return nil
-}
-
-// placeHosts assigns an address to each host and records its zone.
-func (r *Run) placeHosts() {
-	c := &r.script.World
-	put := func(host, zone string) {
-		r.zones[host] = zone
-		r.net.Place(host)
-	}
-	for _, n := range c.Nodes {
-		put(n.Name, n.Zone)
-	}
-	for _, p := range c.Peers {
-		put(hostOf(p), p.Zone)
-	}
-	for _, addr := range []string{c.Discovery.Addr, c.Discovery.Spare} {
-		put(addr[:len(addr)-len(portOf(addr))], c.Zones[0])
-	}
-}
-
 // play runs the loop from the start of the nodes until no process is left. It sends
 // the result of the start to ready.
 func (r *Run) play(ctx context.Context, ready chan<- error) {
@@ -368,57 +300,6 @@
 	}
 }
 
-// fail records an error of the run itself, which no node caused.
-func (r *Run) fail(format string, args ...any) {
-	err := fmt.Errorf(format, args...)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.machineErr = cmp.Or(r.machineErr, err)
-	r.recordError(err)
-}
-
-// recordError keeps the first error and writes err to Options.Log. The caller must
-// hold r.mu.
-func (r *Run) recordError(err error) {
-	r.firstErr = cmp.Or(r.firstErr, err)
-	if r.options.Log != nil {
-		fmt.Fprintln(r.options.Log, err)
-	}
-}
-
-// addViolation records a rule violation by a node's process.
-func (r *Run) addViolation(rule, format string, args ...any) {
-	err := fmt.Errorf(format, args...)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.recordError(err)
-	r.violations = append(r.violations, fmt.Sprintf("%s at %.6fs: %v", rule, r.reporter.now().Seconds(), err))
-}
-
-// MachineErr returns the first error that no node caused.
-func (r *Run) MachineErr() error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.machineErr
-}
-
-// Broken waits until the run has finished and returns the rule violations, one line
-// each: those of the nodes' processes first.
-func (r *Run) Broken() []string {
-	<-r.finished
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append(r.violations[:len(r.violations):len(r.violations)], r.checker.violationLines()...)
-}
-
-// Err returns the first error of the run or of a node's process, for example an
-// unexpected exit or a lack of file descriptors.
-func (r *Run) Err() error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.firstErr
-}
-
 // Done returns a channel that is closed when the run has finished and no process is
 // left.
 func (r *Run) Done() <-chan struct{} { return r.finished }
@@ -447,14 +328,3 @@
 
 // Resolve returns the real address for an address of the world such as "n1:9000".
 func (r *Run) Resolve(addr string) string { return r.net.Resolve(addr) }
-
-// errRunOver is returned by Do once the run has finished.
-var errRunOver = errors.New("the run is over")
-
-// hostOf returns the host on which a peer runs.
-func hostOf(p world.Peer) string {
-	if p.Host != "" {
-		return p.Host
-	}
-	return p.Name
-}
