Fleet: a kept call that was never sent does not end as unknown

What callers would see: behind a predecessor that cannot be asked, a kept order gets 502, and its key answers 502 "unknown" for as long as it is kept, although no attempt was made.

Cause: the store records Failed as "may have run". A call that fails for want of an answer to its claim was never sent. Change: Answer.NeverSent says so, and the key is free again. Not taken: the verdict Rejected, since 503 promises that nothing with the id runs.

Measured: the new check of TestIdempotencyKeys (a failed call that was never sent ends as not run) passes; routing and the test with -race: ok.

--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -57,6 +57,9 @@
 	// RetryAfter is the duration for which the client should wait before a retry. It is set for Rejected only; 0 means no
 	// advice.
 	RetryAfter time.Duration
+	// NeverSent reports whether no attempt was made although the verdict is Failed: another call with the same
+	// ClientRequestID may run in another process of the node.
+	NeverSent bool
 	// Reply is the unmodified reply of the Transport. It is set for Served only.
 	Reply any
 }
--- a/internal/routing/peer_process.go
+++ b/internal/routing/peer_process.go
@@ -138,7 +138,7 @@
 	case result == claimGranted, call.repeatable():
 		r.admit(call)
 	default:
-		r.respond(call, Answer{Verdict: Failed})
+		r.respond(call, Answer{Verdict: Failed, NeverSent: true})
 		r.removeIfDone(call)
 	}
 }
--- a/internal/transport/idempotency.go
+++ b/internal/transport/idempotency.go
@@ -149,10 +149,10 @@
 
 // callOutcome returns the state of a call after an answer, and its response if there is one.
 func callOutcome(a routing.Answer) (CallState, *StoredResponse) {
-	switch a.Verdict {
-	case routing.Served:
+	switch {
+	case a.Verdict == routing.Served:
 		return CallAnswered, newStoredResponse(a.Reply.(*response))
-	case routing.Rejected, routing.Duplicate:
+	case a.Verdict == routing.Rejected, a.Verdict == routing.Duplicate, a.NeverSent:
 		return CallNotRun, nil
 	}
 	return CallOutcomeUnknown, nil
--- a/internal/transport/idempotency_test.go
+++ b/internal/transport/idempotency_test.go
@@ -109,6 +109,9 @@
 				c.key, c.result, c.verdict, status, state, body, finished, handled > before)
 		}
 	}
+	if state, _ := callOutcome(routing.Answer{Verdict: routing.Failed, NeverSent: true}); state != CallNotRun {
+		t.Errorf("a call that failed and was never sent ends as %v, want not run: its key would be unknown for good", state)
+	}
 	store.claim, store.calls, verdict = CallClaim{}, nil, routing.Served
 	send("k1", "pay")
 	send("k1", "pay more")
