Keep accepting successors after a shortage of descriptors

What operators saw: the process in service ran out of descriptors for a moment; each later successor logged "hand-over failed" and served beside it without suspensions or hand-over.

Cause: acceptSuccessors ended with any error of accept(2). Change: only a closed listener ends the loop; otherwise it tries again after 20 ms. Not taken: a reserved descriptor, since the shortage is the system's limit and not the node's own count.

--- a/internal/node/predecessor.go
+++ b/internal/node/predecessor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -10,8 +11,12 @@
 	"olivebridge/internal/handover"
 )
 
-// snapshotTimeout bounds the wait for the router's snapshot, which is part of the state sent to a successor.
-const snapshotTimeout = 300 * time.Millisecond
+const (
+	// snapshotTimeout bounds the wait for the router's snapshot, which is part of the state sent to a successor.
+	snapshotTimeout = 300 * time.Millisecond
+	// acceptRetryInterval is the delay after a failure to accept a successor.
+	acceptRetryInterval = 20 * time.Millisecond
+)
 
 // awaitSuccessor starts to listen for a successor. If that fails, the node runs without hand-over.
 func (n *Node) awaitSuccessor() {
@@ -26,13 +31,17 @@
 }
 
 // acceptSuccessors accepts successors, one at a time, until the listener is closed. A successor is served until its
-// link ends.
+// link ends. While the process has too few descriptors, the successor waits in the listener's queue.
 func (n *Node) acceptSuccessors(listener *handover.Listener) {
 	for {
 		link, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptRetryInterval)
+			continue
+		}
 		if err := n.sendState(link); err != nil {
 			n.log.Warn("hand-over failed", "reason", err.Error())
 			link.Close()
--- a/internal/node/predecessor_test.go
+++ b/internal/node/predecessor_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"context"
 	"net"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -58,3 +60,41 @@
 		t.Errorf("sending 100 connections after the link had failed took %v, want at most 100ms", d)
 	}
 }
+
+// TestSuccessorWaitsForDescriptor guards against a process that accepts no successor for good after it once had no
+// descriptor for one.
+func TestSuccessorWaitsForDescriptor(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	c := testConfig()
+	c.Listen, c.AdminListen = "127.0.0.1:0", "127.0.0.1:0"
+	noDial := func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	n, err := Start(c, Options{HandoverPath: path, Dial: noDial})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Abort()
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	free, err := syscall.Dup(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	syscall.Close(free)
+	one := syscall.Rlimit{Cur: uint64(free) + 1, Max: limit.Max} // one descriptor, which the connection below takes
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &one); err != nil {
+		t.Fatal(err)
+	}
+	successor, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Net: "unixpacket", Name: path})
+	time.Sleep(3 * acceptRetryInterval)
+	syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer successor.Close()
+	successor.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if size, err := successor.Read(make([]byte, 1<<10)); err != nil || size == 0 {
+		t.Errorf("the successor got %d bytes and error %v, want the node's state", size, err)
+	}
+}
