Cut a long answer whose server has stopped once the request's time is over

Callers: a server that sends half of a long answer and then nothing held the client for 30 s, whatever its X-Budget.

Cause: beyond its first part a long answer had no deadline but streamStallTimeout, the cause of the late long requests on the way back.

Change: a read that begins within the call's time waits until 0.4 s after it; later the server may pause for 1 s. An answer that still arrives is passed on, as before.

--- a/internal/transport/response_stream.go
+++ b/internal/transport/response_stream.go
@@ -23,6 +23,11 @@
 	// responses are complete within it, and an attempt whose malformed response is found before anything was sent to the
 	// client can be retried.
 	firstPartWait = 20 * time.Millisecond
+	// lateAnswerGrace is the time after the end of a call at which a response whose server sends nothing is given up. An
+	// answer that ends half a second late, or is cut by then, does not count as lost.
+	lateAnswerGrace = 400 * time.Millisecond
+	// lateAnswerStall is the duration for which a server may send nothing once the time of the call is over.
+	lateAnswerStall = time.Second
 	// minFirstPartBuffer is the initial size of the buffer for the first part, in bytes.
 	minFirstPartBuffer = 512
 )
@@ -38,6 +43,8 @@
 	length int64
 	// remaining is the number of bytes still to be read. For a body of unknown length it is the number still allowed.
 	remaining int64
+	// deadline is the end of the call's time; zero: not known.
+	deadline time.Time
 	// closeAfter is true if the connection closes after the response.
 	closeAfter bool
 
@@ -64,7 +71,7 @@
 		b = b[:s.remaining]
 	}
 	started := time.Now()
-	_ = s.conn.SetReadDeadline(started.Add(s.timeLeft(streamStallTimeout)))
+	_ = s.conn.SetReadDeadline(s.readDeadline(started))
 	s.setWaiting(true)
 	n, err := s.body.Read(b)
 	s.setWaiting(false)
@@ -79,6 +86,20 @@
 	return n, err
 }
 
+// readDeadline returns the time until which a read that starts now waits for the server. A response that still arrives
+// may end after the call's time, but one that has stopped is not waited for.
+func (s *responseStream) readDeadline(now time.Time) time.Time {
+	paceDeadline := now.Add(s.timeLeft(streamStallTimeout))
+	callDeadline := s.deadline.Add(lateAnswerGrace)
+	if !now.Before(s.deadline) {
+		callDeadline = now.Add(lateAnswerStall)
+	}
+	if s.deadline.IsZero() || paceDeadline.Before(callDeadline) {
+		return paceDeadline
+	}
+	return callDeadline
+}
+
 // setWaiting records the start or the end of a read. The client is checked while a read waits.
 func (s *responseStream) setWaiting(waiting bool) {
 	if s.client == nil {
@@ -116,8 +137,11 @@
 
 // failureReason returns the close reason for the connection after a failed read.
 func (s *responseStream) failureReason() closeReason {
-	if s.conn.readErr == nil { // no read has failed: the bytes received are no valid response
+	switch {
+	case s.conn.readErr == nil: // no read has failed: the bytes received are no valid response
 		return reasonMalformed
+	case errors.Is(s.conn.readErr, os.ErrDeadlineExceeded):
+		return reasonTimeout
 	}
 	return reasonReset
 }
--- a/internal/transport/upstream_transport.go
+++ b/internal/transport/upstream_transport.go
@@ -167,6 +167,7 @@
 	if err == nil && r.stream != nil && result == balancer.OK && notCancelled {
 		r.stream.transport = t
 		r.stream.closeAfter = r.closeAfter
+		r.stream.deadline = conn.responseDeadline(attempt.ExpiresAt)
 		streamed := &response{fields: r.endToEndFields(), body: r.body, stream: r.stream}
 		return routing.AttemptResult{Result: balancer.OK, Reply: streamed}
 	}
