--- a/cmd/olivebridge/long_request_test.go
+++ b/cmd/olivebridge/long_request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"net"
@@ -91,6 +92,7 @@
 	}
 	const partSize = 256 << 10
 	part := make([]byte, partSize)
+	body := randomBody(0, int64(l.length))
 	for written := 0; written < l.length; {
 		if l.pauseAt > 0 && written >= l.pauseAt {
 			time.Sleep(l.pause)
@@ -98,6 +100,7 @@
 		}
 		n := min(partSize, l.length-written)
 		frame := part[:n]
+		io.ReadFull(body, frame)
 		if l.chunked {
 			frame = fmt.Appendf(nil, "%x\r\n%s\r\n", n, frame)
 		}
@@ -248,15 +251,17 @@
 				request.chunked = chunked
 				finished := make(chan time.Time, 1)
 				n := start(t, unchangedList, func(w http.ResponseWriter, r *http.Request) {
-					c.server(r.Body)
+					received := sha256.New()
+					c.server(io.TeeReader(r.Body, received))
 					finished <- time.Now()
-					fmt.Fprint(w, "done")
+					fmt.Fprintf(w, "%x", received.Sum(nil))
 				})
 				begun := time.Now()
 				result := request.send(n.addr)
 				t.Logf("last byte written after %v, answer after %v", result.written.Sub(begun), result.at.Sub(begun))
-				if result.status != 200 || result.body != "done" || result.late() {
-					t.Errorf("answer %d %q after %v, error %v, want 200", result.status, result.body,
+				want, _ := checksum(randomBody(0, int64(request.length)))
+				if result.status != 200 || result.body != want || result.late() {
+					t.Errorf("answer %d %q after %v, error %v, want 200 and the body's checksum", result.status, result.body,
 						result.at.Sub(result.written), result.err)
 				}
 				if at := <-finished; c.slow && at.Sub(begun) < longTimeout {
@@ -267,6 +272,50 @@
 	}
 }
 
+// TestClientLeavesLongRequest: the node gives up a long request whose client leaves while its bytes wait for a silent
+// server, and does not wait for that server: at once after a reset, and at the end of the request's time if the end of
+// the connection waits behind bytes in the client's kernel.
+func TestClientLeavesLongRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		length int
+		reset  bool
+		within time.Duration // time from the client's leaving to the end of the attempt
+	}{
+		"reset":                {20 << 20, true, time.Second},
+		"close behind its end": {6 << 20, false, longTimeout + answerSlack},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			release, arrived := make(chan struct{}), make(chan struct{})
+			n := start(t, unchangedList, func(http.ResponseWriter, *http.Request) {
+				close(arrived)
+				<-release
+			})
+			t.Cleanup(func() { close(release) }) // before the server waits for its requests
+			conn, err := net.Dial("tcp", n.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			written := make(chan error, 1)
+			go func() { written <- longRequest{length: c.length}.write(conn) }()
+			<-arrived
+			if c.reset {
+				time.Sleep(100 * time.Millisecond)
+				conn.(*net.TCPConn).SetLinger(0)
+			} else if err := <-written; err != nil {
+				t.Fatal(err)
+			}
+			left := time.Now()
+			conn.Close()
+			n.waitForLog(t, "side=peer")
+			if d := time.Since(left); d > c.within {
+				t.Errorf("the attempt ended %v after its client left, want at most %v", d, c.within)
+			}
+		})
+	}
+}
+
 // TestManyLongRequestsToSilentServer: many long bodies that wait for one silent server exceed neither the node's memory
 // limit nor their time, and short requests are served meanwhile.
 func TestManyLongRequestsToSilentServer(t *testing.T) {
