--- a/internal/transport/upload.go
+++ b/internal/transport/upload.go
@@ -104,8 +104,8 @@
 	} else {
 		u.stopReadingAhead()
 	}
-	u.reading.Lock()
-	defer u.reading.Unlock()
+	u.reading.acquire()
+	defer u.reading.release()
 	return u.clientErr
 }
 
--- a/internal/transport/upload_read.go
+++ b/internal/transport/upload_read.go
@@ -7,7 +7,6 @@
 	"io"
 	"os"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -42,7 +41,7 @@
 	silentAt atomic.Pointer[time.Time]
 
 	// reading is held while the body is read, and guards the following fields.
-	reading    sync.Mutex
+	reading    semaphore
 	clientPace transferPace
 	pressure   backpressure
 	// lastArrival is the time of the last read or check by which more bytes had arrived than before.
@@ -63,11 +62,30 @@
 	checkTimer *time.Timer   // nil: no further check
 }
 
+// semaphore is held by one goroutine at a time. Unlike a mutex it may be held during I/O for which others wait in
+// virtual time (testing/synctest).
+type semaphore chan struct{}
+
+func (s semaphore) acquire() { s <- struct{}{} }
+
+func (s semaphore) release() { <-s }
+
+// tryAcquire acquires the semaphore if it is free, and reports whether it did.
+func (s semaphore) tryAcquire() bool {
+	select {
+	case s <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 // newUploadReading returns the reading of a body of which some bytes have been read.
 func newUploadReading(r requestBody, bytes int64, readAhead *readAheadBudget, buffers *bufferPool) uploadReading {
 	now := time.Now()
 	return uploadReading{
 		readAhead:  readAhead,
+		reading:    make(semaphore, 1),
 		buffers:    buffers,
 		received:   make(chan time.Time, 1),
 		clientPace: transferPace{bytes: bytes, waited: now.Sub(r.conn.requestStartTime())},
@@ -110,8 +128,8 @@
 		u.stopped.Store(true)
 		_ = u.conn.SetReadDeadline(expiredDeadline)
 	}
-	u.reading.Lock()
-	defer u.reading.Unlock()
+	u.reading.acquire()
+	defer u.reading.release()
 	if u.bodyRead.Load() {
 		_ = u.conn.SetReadDeadline(time.Time{}) // net/http reads to detect a disconnect
 	}
@@ -120,9 +138,9 @@
 // stopReadingAhead is stopReading for a body that no attempt has claimed. It leaves the read deadline as it is unless
 // the body is being read.
 func (u *upload) stopReadingAhead() {
-	if u.reading.TryLock() {
+	if u.reading.tryAcquire() {
 		u.stopped.Store(true)
-		u.reading.Unlock()
+		u.reading.release()
 		return
 	}
 	u.stopReading()
@@ -134,8 +152,8 @@
 	if part, ok := u.takeAhead(); ok {
 		return part, nil
 	}
-	u.reading.Lock()
-	defer u.reading.Unlock()
+	u.reading.acquire()
+	defer u.reading.release()
 	if part, ok := u.takeAhead(); ok { // read while this call waited
 		return part, nil
 	}
@@ -239,8 +257,8 @@
 
 // failedByClient reports whether an error of the client made the body incomplete.
 func (u *upload) failedByClient() bool {
-	u.reading.Lock()
-	defer u.reading.Unlock()
+	u.reading.acquire()
+	defer u.reading.release()
 	return u.clientErr != nil
 }
 
@@ -276,11 +294,11 @@
 // checkHeldBack determines whether the last byte of the body has arrived or may have been waiting for the whole timeout
 // of the call. The result reports whether the body must be checked further.
 func (u *upload) checkHeldBack() (again bool) {
-	if !u.reading.TryLock() { // the body is being read: nothing is held back
+	if !u.reading.tryAcquire() { // the body is being read: nothing is held back
 		u.checkSilence()
 		return true
 	}
-	defer u.reading.Unlock()
+	defer u.reading.release()
 	if u.readErr != nil || u.stopped.Load() {
 		return false
 	}
@@ -356,10 +374,10 @@
 // written. It reports whether it read a part. If the node's memory for parts has no room, the last byte counts as
 // written.
 func (u *upload) readAheadPart() bool {
-	if !u.reading.TryLock() { // the attempt reads the body
+	if !u.reading.tryAcquire() { // the attempt reads the body
 		return false
 	}
-	defer u.reading.Unlock()
+	defer u.reading.release()
 	lead := min(maxReadAheadLead, u.timeout/readAheadLeadDivisor)
 	delay := u.pressure.delay()
 	if u.readErr != nil || u.stopped.Load() || u.receivedAt.Load() != nil || delay < u.timeout-lead {
