Lab: draw finite buffers and long bodies, and count a request from its client's kernel

A client's kernel takes only so much, bytes that it took count as sent, and the judge reports a long request as late 0.3 s after its time (0.5 s is owed) if the node leaves earlier bytes of it unread. A long body's attempt may begin before the client has sent all of it.

Tests: TestSendBuffer, two rule cases.

--- a/internal/lab/fault/draw.go
+++ b/internal/lab/fault/draw.go
@@ -96,12 +96,27 @@
 			Spread: k.Spread.draw(g), Objective: k.Aim.draw(g), Deadline: k.Deadline.draw(g), Weight: k.Worth.draw(g),
 			Body: k.Body.draw(g), ResponseBody: k.ResponseBody.draw(g)})
 	}
+	d.buffers()
 	d.mix = shares(d.mix)
 	for i, k := range d.s.World.Classes {
 		d.meanWork += d.mix[i] * k.Work.D().Seconds()
 	}
 }
 
+// buffers draws, in some runs, the buffers of the network and the long bodies that fill them.
+func (d *drawer) buffers() {
+	n, w, g := &d.sc.Net, &d.s.World, d.stream("buffers")
+	if !chance(g, n.Buffered) {
+		return
+	}
+	w.Net.Window, w.Net.SendBuffer = n.Window.draw(g), n.SendBuffer.draw(g)
+	for i := range w.Classes {
+		if long, body := n.Long.draw(g), n.LongBody.draw(g); !w.Classes[i].Safe {
+			w.Classes[i].LongShare, w.Classes[i].LongBody = long, body
+		}
+	}
+}
+
 // shares scales numbers so that they add up to 1, and rounds each to three digits.
 func shares(of []float64) []float64 {
 	sum := 0.0
--- a/internal/lab/fault/limits.go
+++ b/internal/lab/fault/limits.go
@@ -27,6 +27,7 @@
 
 		"world.net.same": {0, 1, false}, "world.net.cross": {0, 1, false}, "world.net.client": {0, 1, false},
 		"world.net.jitter": {0, 10, false}, "world.net.rate": {1e4, 1e10, true}, "world.net.pieces": share,
+		"world.net.window": {16 << 10, 64 << 20, true}, "world.net.send_buffer": {16 << 10, 64 << 20, true},
 
 		"world.contract.drain_grace": {0, 60, false}, "world.contract.cold_share": {0.01, 1, false},
 		"world.contract.cold": {0.1, 600, false}, "world.contract.overload": {1, 100, false},
@@ -46,6 +47,7 @@
 		"world.class.aim": {0.001, 60, false}, "world.class.deadline": {0.01, 60, false},
 		"world.class.worth": {0, 1e6, false}, "world.class.body": {0, 64 << 10, false},
 		"world.class.answer": {0, 1 << 20, false},
+		"world.class.long":   share, "world.class.long_body": {0, 4 << 20, false},
 
 		"world.tenant.share": share, "world.tenant.quota": {0, 1e6, false},
 
--- a/internal/lab/network/conn.go
+++ b/internal/lab/network/conn.go
@@ -47,6 +47,8 @@
 	sendQueue   [][]byte
 	closing     bool // CloseWrite was called: a FIN follows the last write of sendQueue
 	windowUsed  int  // bytes of the window in use
+	taken       int  // number of writes of sendQueue that the kernel has taken: to the program, they are sent
+	takenBytes  int  // bytes of these writes
 }
 
 func (n *Net) newConn(from, to string) *conn {
@@ -77,8 +79,13 @@
 	if e.closed || e.finSent {
 		return
 	}
-	e.wroteData = true
 	e.conn.net.observe(link.Sent, e.conn, e.back(), b, "")
+	e.transmit(b)
+}
+
+// transmit passes written bytes to the network.
+func (e *end) transmit(b []byte) {
+	e.wroteData = true
 	e.conn.responseSent(e.side)
 	e.send(data, b, nil)
 }
@@ -143,6 +150,7 @@
 		e.conn.net.observe(link.Fail, e.conn, e.back(), nil, "called off")
 	}
 	e.closed, e.unreadData, e.sendQueue, e.closing = true, nil, nil, false
+	e.taken, e.takenBytes = 0, 0
 }
 
 // reset closes this end and sends a reset, at most once.
--- a/internal/lab/network/link_conn.go
+++ b/internal/lab/network/link_conn.go
@@ -1,19 +1,45 @@
 package network
 
-import "bytes"
+import (
+	"bytes"
+
+	"olivebridge/internal/lab/link"
+)
 
 // ID implements link.Conn.
 func (e *end) ID() string { return e.conn.id }
 
-// Write implements link.Conn. It queues the bytes for which the window has no room.
+// Write implements link.Conn. It queues the bytes for which the window has no room. The kernel of a client takes them as
+// far as its send buffer has room.
 func (e *end) Write(b []byte) {
 	if e.closed || e.finSent || e.closing || len(b) == 0 {
 		return
 	}
-	e.sendQueue = append(e.sendQueue, bytes.Clone(b))
+	b = bytes.Clone(b)
+	for e.hasSendBuffer() && len(b) > sendBufferPart {
+		e.sendQueue = append(e.sendQueue, b[:sendBufferPart:sendBufferPart])
+		b = b[sendBufferPart:]
+	}
+	e.sendQueue = append(e.sendQueue, b)
 	e.flush()
 }
 
+// hasSendBuffer reports whether the kernel of this end takes bytes for which the window has no room.
+func (e *end) hasSendBuffer() bool { return e.side == 0 && e.conn.net.config.SendBuffer > 0 }
+
+// takeWrites lets the kernel take queued writes as far as its send buffer has room.
+func (e *end) takeWrites() {
+	for e.hasSendBuffer() && e.taken < len(e.sendQueue) {
+		b := e.sendQueue[e.taken]
+		if e.takenBytes+len(b) > e.conn.net.config.SendBuffer {
+			return
+		}
+		e.taken++
+		e.takenBytes += len(b)
+		e.conn.net.observe(link.Sent, e.conn, e.back(), b, "")
+	}
+}
+
 // CloseWrite implements link.Conn.
 func (e *end) CloseWrite() {
 	e.closing = true
@@ -65,9 +91,10 @@
 	if !e.up || e.closed {
 		return
 	}
-	for len(e.sendQueue) > 0 && (e.windowUsed == 0 || e.windowUsed+len(e.sendQueue[0]) <= windowSize) {
+	for len(e.sendQueue) > 0 && (e.windowUsed == 0 || e.windowUsed+len(e.sendQueue[0]) <= e.conn.net.config.Window) {
 		e.sendFirst()
 	}
+	e.takeWrites()
 	if e.closing && len(e.sendQueue) == 0 {
 		e.endWriting()
 	}
@@ -81,5 +108,11 @@
 		e.sendQueue = nil
 	}
 	e.windowUsed += len(b)
+	if e.taken > 0 {
+		e.taken--
+		e.takenBytes -= len(b)
+		e.transmit(b)
+		return
+	}
 	e.write(b)
 }
--- a/internal/lab/network/network.go
+++ b/internal/lab/network/network.go
@@ -8,6 +8,7 @@
 package network
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -19,10 +20,13 @@
 	"olivebridge/internal/lab/world"
 )
 
-// windowSize is the maximum number of bytes of one direction that may be in flight or unread. A sender that has
-// reached it blocks, as with a full socket buffer.
+// windowSize is the Window of networks that leave it at zero, in bytes. A sender that has reached the window blocks, as
+// with a full socket buffer.
 const windowSize = 256 << 10
 
+// sendBufferPart is the size of the parts in which the kernel of a client takes a write, in bytes.
+const sendBufferPart = 16 << 10
+
 // Net is a simulated network. Its methods belong to the goroutine of the Loop, except Host, which is safe for
 // concurrent use.
 type Net struct {
@@ -50,6 +54,7 @@
 
 // New returns a network that draws its random numbers from seed. tap observes all events and may be nil.
 func New(l *loop.Loop, seed uint64, c world.Net, tap link.Tap) *Net {
+	c.Window = cmp.Or(c.Window, windowSize)
 	return &Net{
 		loop: l, seed: seed, config: c, tap: tap,
 		placements: map[string]placement{},
--- a/internal/lab/network/network_test.go
+++ b/internal/lab/network/network_test.go
@@ -428,6 +428,33 @@
 	}
 }
 
+// TestSendBuffer: the kernel of a client takes bytes for which the window has no room, as far as its send buffer has
+// room. They count as sent, and all bytes arrive in order once the node reads.
+func TestSendBuffer(t *testing.T) {
+	const window, sendBuffer = 64 << 10, 128 << 10
+	body := bytes.Repeat([]byte("0123456789abcdef"), 20<<10)
+	sentEarly := 0
+	e := &recordingHandler{end: link.Conn.Close, up: func(c link.Conn) {
+		c.Write(body)
+		c.CloseWrite()
+	}}
+	l := runNetwork(t, world.Net{Window: window, SendBuffer: sendBuffer}, func(l *testNetwork) {
+		l.acceptOnNode(func(p *port) {
+			defer p.Close()
+			time.Sleep(50 * ms)
+			if got, err := io.ReadAll(p); !bytes.Equal(got, body) || err != nil {
+				t.Errorf("read %d bytes, %v; want the %d bytes that the client wrote", len(got), err, len(body))
+			}
+		})
+		l.dialAt(0, "n1:80", e)
+		l.at(50*ms, func() { sentEarly = len(l.bytes["c1>n1#1 sent false"]) })
+	})
+	if all := l.bytes["c1>n1#1 sent false"]; sentEarly != window+sendBuffer || all != string(body) {
+		t.Errorf("%d bytes counted as sent before the node read, %d in all; want %d and %d", sentEarly, len(all),
+			window+sendBuffer, len(body))
+	}
+}
+
 // TestTraceIsDeterministic checks that goroutines of one node that act at the same instant always leave the same
 // trace.
 func TestTraceIsDeterministic(t *testing.T) {
--- a/internal/lab/network/port.go
+++ b/internal/lab/network/port.go
@@ -215,11 +215,12 @@
 	return len(p.received), nil
 }
 
-// ReceivesMore reports whether the window of the other side has room.
+// ReceivesMore reports whether the other side may send more bytes. It is false while any are unread, since a write waits
+// until the window has room for all of it.
 func (p *port) ReceivesMore() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.received) < windowSize
+	return len(p.received) == 0
 }
 
 // Unacknowledged returns the number of written bytes that the other side has not read.
@@ -254,14 +255,14 @@
 		p.writeCond.Broadcast()
 	}()
 	for {
-		part := b[n:min(len(b), n+windowSize)]
+		part := b[n:min(len(b), n+p.net.config.Window)]
 		if err := p.writeError(); err != nil {
 			return n, err
 		}
 		if len(part) == 0 {
 			return n, nil
 		}
-		if p.windowUsed+len(part) > windowSize {
+		if p.windowUsed+len(part) > p.net.config.Window {
 			p.writeCond.Wait()
 			continue
 		}
--- a/internal/lab/rules/client_conn.go
+++ b/internal/lab/rules/client_conn.go
@@ -20,6 +20,14 @@
 	maxPlannedDeadline = 3 * time.Second
 )
 
+const (
+	// heldBackAfter is the time for which a node must have read nothing, for the bytes of a request to be held back.
+	heldBackAfter = 200 * time.Millisecond
+	// lateAnswerGrace is the time by which the answer to a held-back request may be late. Its client may have written the
+	// last byte later than the node can know.
+	lateAnswerGrace = 300 * time.Millisecond
+)
+
 // clientConn is a connection from a client.
 type clientConn struct {
 	*conn
@@ -77,7 +85,29 @@
 	r.acceptedAt = c.judge.now
 	if c.backward.ended || c.broken || c.announcedClose {
 		c.settle(r) // no answer is required on a connection that is ending
+		return
+	}
+	if r.isLong() {
+		c.scheduleHeldBackCheck(r)
+	}
+}
+
+// scheduleHeldBackCheck schedules the check that a long request is answered in time although its last byte has not
+// reached the node's machine, if the node leaves the bytes before it unread.
+func (c *clientConn) scheduleHeldBackCheck(r *request) {
+	budget := r.budget
+	if budget == 0 && r.class != nil {
+		budget = r.class.Deadline.D()
 	}
+	at := r.acceptedAt + budget + lateAnswerGrace + c.judge.config.Slack
+	c.judge.schedule(at, func() {
+		unread := c.forward.read < c.forward.arrived && at-c.forward.readAt >= heldBackAfter
+		if !r.arrived && unread && r.needsAnswer() && !r.reported && c.node.incarnation == c.incarnation {
+			r.reported = true
+			c.judge.report(Late, at, "%s: call %s has no answer %v after its sending, and its bytes are not read",
+				c.id, r.id, at-r.acceptedAt)
+		}
+	})
 }
 
 // opened is called when the connection is established. It accepts the requests
--- a/internal/lab/rules/conn.go
+++ b/internal/lab/rules/conn.go
@@ -42,11 +42,12 @@
 // the beginning of the connection.
 type flow struct {
 	scan      scanner
-	sent      int64 // offset up to which bytes were sent
-	arrived   int64 // offset up to which bytes have reached the other machine
-	read      int64 // offset up to which the receiving program has read bytes
-	ended     bool  // no further bytes are sent
-	malformed bool  // the bytes cannot be parsed
+	sent      int64         // offset up to which bytes were sent
+	arrived   int64         // offset up to which bytes have reached the other machine
+	read      int64         // offset up to which the receiving program has read bytes
+	readAt    time.Duration // time of the last read
+	ended     bool          // no further bytes are sent
+	malformed bool          // the bytes cannot be parsed
 }
 
 func byID(a, b *conn) int { return strings.Compare(a.id, b.id) }
@@ -105,6 +106,7 @@
 		k.arrived(c.Back, len(c.Data) == 0 && c.Note == "fin")
 	case link.Read:
 		f.read += int64(len(c.Data))
+		f.readAt = k.judge.now
 	case link.Finished:
 		k.finishedSending(f, c.Back)
 	case link.Closed:
--- a/internal/lab/rules/peer_conn.go
+++ b/internal/lab/rules/peer_conn.go
@@ -101,7 +101,7 @@
 func (k *call) findRequest(a *attempt, m *message) (found, finished *request) {
 	for _, r := range k.requests {
 		switch {
-		case !r.accepted || r.acceptedAt > a.begunAt:
+		case !r.accepted || !r.isLong() && r.acceptedAt > a.begunAt: // a long body is forwarded while it arrives
 		case r.method != m.method || r.target != m.target || r.body != m.body:
 		case r.attemptsForbidden && a.begunAt > r.forbiddenSince:
 			finished = r
--- a/internal/lab/rules/request.go
+++ b/internal/lab/rules/request.go
@@ -33,6 +33,12 @@
 	forbiddenSince    time.Duration
 }
 
+// maxBufferedBody is the size of the longest body that a node reads before it forwards the request, in bytes.
+const maxBufferedBody = 64 << 10
+
+// isLong reports whether a node forwards the request while its body is still arriving.
+func (r *request) isLong() bool { return r.body.size > maxBufferedBody }
+
 // needsAnswer reports whether the node must still answer the request.
 func (r *request) needsAnswer() bool {
 	return r.accepted && !r.settled && !r.malformed && !r.readiness && r.conn.malformedReason == ""
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -102,6 +102,27 @@
 	s.open(id, "c1", "n1:9000")
 	s.send(id, false, requestBytes(id, class))
 }
+
+const (
+	// longRequestArrived is the number of bytes of a longRequest that reach the node's machine.
+	longRequestArrived = 70 << 10
+	// longRequestRead is the number of these that a node reads which holds the others back.
+	longRequestRead = 32 << 10
+)
+
+// longRequest lets a client send a long request, of which a part arrives and read bytes are read, and waits until half
+// a second after its time.
+func (s *timeline) longRequest(read int) {
+	body := strings.Repeat("x", 2*maxBufferedBody)
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
+	all := strings.Replace(requestBytes("a", "book"), "Content-Length: 4\r\n\r\nbody", length+body, 1)
+	s.open("a", "c1", "n1:9000")
+	s.networkEvent(link.Sent, "a", false, all, "")
+	s.networkEvent(link.Arrived, "a", false, all[:longRequestArrived], "")
+	s.networkEvent(link.Read, "a", false, all[:read], "")
+	s.advance(2 * time.Second)
+}
+
 func (s *timeline) answer(id, text string)     { s.send(id, true, answerBytes(text)) }
 func (s *timeline) attempt(conn, class string) { s.attemptAt(conn, "p1", class) }
 func (s *timeline) attemptAt(conn, peer, class string) {
@@ -278,6 +299,8 @@
 		s.advance(546 * ms)
 		s.answer("a", "504 ")
 	}},
+	{"long request held back", Late, nil, func(s *timeline) { s.longRequest(longRequestRead) }},
+	{"long request whose rest is on its way", "", nil, func(s *timeline) { s.longRequest(longRequestArrived) }},
 	{"slow transit to the node", "", nil, func(s *timeline) {
 		s.open("a", "c1", "n1:9000")
 		s.networkEvent(link.Sent, "a", false, requestBytes("a", "quote"), "")
--- a/internal/lab/world/client/client.go
+++ b/internal/lab/world/client/client.go
@@ -41,8 +41,12 @@
 // dialTimeout is the time limit for opening a connection, and for one readiness check of the front.
 const dialTimeout = time.Second
 
-// maxBodyBytes limits the body of a valid request.
-const maxBodyBytes = 64 << 10
+const (
+	// maxBodyBytes limits the body of a valid request, unless it is a long one.
+	maxBodyBytes = 64 << 10
+	// maxLongBodyBytes limits the long body of a valid request.
+	maxLongBodyBytes = 4 << 20
+)
 
 // Tally counts requests by their final outcome. Retries counts attempts after the
 // first. The response times that separate Served from Late begin when the last
--- a/internal/lab/world/client/message.go
+++ b/internal/lab/world/client/message.go
@@ -56,8 +56,15 @@
 	r, c := t.request, t.request.group
 	draws := figure.Stream(c.env.Seed, fmt.Sprintf("%s try %d form", r.name, r.attempts))
 	spec := r.classConfig()
-	size := figure.LogNormal(draws, float64(spec.Body), 0.6)
-	body := requestBody(t.id, int(min(size, maxBodyBytes-1)))
+	size := min(figure.LogNormal(draws, float64(spec.Body), 0.6), maxBodyBytes-1)
+	if spec.LongShare > 0 {
+		long := figure.Stream(c.env.Seed, fmt.Sprintf("%s try %d long", r.name, r.attempts))
+		if long.Float64() < spec.LongShare {
+			size = min(figure.LogNormal(long, float64(spec.LongBody), 0.6), maxLongBodyBytes)
+			t.lingerFor = longLingerDuration
+		}
+	}
+	body := requestBody(t.id, int(size))
 	h := validMessage(spec.Name, spec.Safe, t.id, c.config.Tenant, r.key, budget, body)
 	if r.attempts > 1 {
 		h.add("X-Again", "1")
--- a/internal/lab/world/config.go
+++ b/internal/lab/world/config.go
@@ -31,6 +31,11 @@
 	Jitter float64     `toml:"jitter"`           // maximum random increase of a delay, as a share of it
 	Rate   float64     `toml:"rate,omitempty"`   // bytes per second and connection; 0: unlimited
 	Pieces float64     `toml:"pieces,omitempty"` // share of writes that are split at random positions
+	// Window is the maximum number of bytes of one direction that may be in flight or unread; 0: 256 KiB.
+	Window int `toml:"window,omitempty"`
+	// SendBuffer is the number of bytes that the kernel of a client holds beyond the window. To the client, they are
+	// sent; 0: it holds none.
+	SendBuffer int `toml:"send_buffer,omitempty"`
 }
 
 // Contract holds the platform rules that are written into the settings of nodes.
@@ -57,14 +62,16 @@
 // Class is a class of requests.
 type Class struct {
 	Name         string      `toml:"name"`
-	Safe         bool        `toml:"safe"`             // GET, may be repeated; otherwise POST, must not run twice
-	Work         figure.Span `toml:"work"`             // mean work, in time on a core of speed 1
-	Spread       float64     `toml:"spread"`           // coefficient of variation of the work
-	Objective    figure.Span `toml:"aim"`              // latency objective: a response within it earns the full weight
-	Deadline     figure.Span `toml:"deadline"`         // time for which the client waits
-	Weight       float64     `toml:"worth"`            // priority weight
-	Body         int         `toml:"body,omitempty"`   // mean size of a POST body, in bytes
-	ResponseBody int         `toml:"answer,omitempty"` // mean size of a response body, in bytes
+	Safe         bool        `toml:"safe"`                // GET, may be repeated; otherwise POST, must not run twice
+	Work         figure.Span `toml:"work"`                // mean work, in time on a core of speed 1
+	Spread       float64     `toml:"spread"`              // coefficient of variation of the work
+	Objective    figure.Span `toml:"aim"`                 // latency objective: a response within it earns the full weight
+	Deadline     figure.Span `toml:"deadline"`            // time for which the client waits
+	Weight       float64     `toml:"worth"`               // priority weight
+	Body         int         `toml:"body,omitempty"`      // mean size of a POST body, in bytes
+	ResponseBody int         `toml:"answer,omitempty"`    // mean size of a response body, in bytes
+	LongShare    float64     `toml:"long,omitempty"`      // share of POST requests with a long body
+	LongBody     int         `toml:"long_body,omitempty"` // mean size of a long POST body, in bytes
 }
 
 // Tenant is a customer of the platform.
