--- a/internal/lab/fault/scenario.go
+++ b/internal/lab/fault/scenario.go
@@ -58,13 +58,13 @@
 	Bounded float64 `toml:"bounded" of:"scenario.chance"` // share of runs with a limited transfer rate
 	Rate    Range   `toml:"rate" of:"world.net.rate"`
 	Pieces  Range   `toml:"pieces" of:"world.net.pieces"`
-	// Buffered is the share of runs with drawn buffers and long bodies.
-	Buffered   float64 `toml:"buffered" of:"scenario.chance"`
-	Window     Counts  `toml:"window" of:"world.net.window"`
-	SendBuffer Counts  `toml:"send_buffer" of:"world.net.send_buffer"`
+	// Buffered is the share of runs with drawn buffers and long bodies; 0, the value if it is missing: none.
+	Buffered   float64 `toml:"buffered,omitempty" of:"scenario.chance"`
+	Window     Counts  `toml:"window,omitempty" of:"world.net.window"`
+	SendBuffer Counts  `toml:"send_buffer,omitempty" of:"world.net.send_buffer"`
 	// Long is the share of POST requests with a long body in the runs of Buffered.
-	Long     Range  `toml:"long" of:"world.class.long"`
-	LongBody Counts `toml:"long_body" of:"world.class.long_body"`
+	Long     Range  `toml:"long,omitempty" of:"world.class.long"`
+	LongBody Counts `toml:"long_body,omitempty" of:"world.class.long_body"`
 }
 
 // ContractRanges draws world.Contract. For a permission, it holds the share of runs in which it is granted.
