Fleet: collect the members that a round of probes does not reach under one lock

Cause: probe appended members that the view does not contain to its result without the lock, beside probes that append with it, so a member could be missing from a witness's report. TestMassFailure failed once under the race detector for it.

Change: one function appends, under the lock. TestProbeOfSilentAndUnknownMembers reports a data race without the change (1 of 1), and passes with it, with TestMassFailure and TestWitnessReport 3 of 3 under -race.

--- a/internal/fleet/member/mass_failure_detector.go
+++ b/internal/fleet/member/mass_failure_detector.go
@@ -165,26 +165,28 @@
 	d.probing.Lock()
 	defer d.probing.Unlock()
 	view := d.agent.service.View()
-	var mu sync.Mutex
+	var mu sync.Mutex // guards silent
 	var silent []string
+	addSilent := func(name string) {
+		mu.Lock()
+		defer mu.Unlock()
+		silent = append(silent, name)
+	}
 	var probes sync.WaitGroup
 	slots := make(chan struct{}, maxConcurrentProbes)
 	for _, name := range names {
 		m, known := view.Lookup(name)
 		addr, err := netip.ParseAddrPort(m.Addr)
 		if !known || !m.State.Present() || err != nil {
-			silent = append(silent, name) // already declared dead in the view
+			addSilent(name) // already declared dead in the view
 			continue
 		}
 		slots <- struct{}{}
 		probes.Go(func() {
 			defer func() { <-slots }()
-			if d.reaches(name, net.UDPAddrFromAddrPort(addr), since, attempts) {
-				return
+			if !d.reaches(name, net.UDPAddrFromAddrPort(addr), since, attempts) {
+				addSilent(name)
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			silent = append(silent, name)
 		})
 	}
 	probes.Wait()
--- a/internal/fleet/member/mass_failure_test.go
+++ b/internal/fleet/member/mass_failure_test.go
@@ -151,3 +151,18 @@
 		t.Error("askWitness returned no error for an address without a listener")
 	}
 }
+
+// A round of probes finds members that do not answer beside members that the view does not contain. Before, both were
+// added to the result without a common lock, which the race detector reports.
+func TestProbeOfSilentAndUnknownMembers(t *testing.T) {
+	a, b := freeAddr(t), freeAddr(t)
+	n1, n2 := newService(t, "n1", t.TempDir(), a), newService(t, "n2", t.TempDir(), b, a)
+	joinFleet(t, n1)
+	joinFleet(t, n2)
+	awaitView(t, n1, "two", hasState("n2", Alive))
+	n2.currentAgent().close()
+	silent := n1.currentAgent().massFailures.probe([]string{"n2", "nobody"}, time.Now(), 1)
+	if !slices.Equal(silent, []string{"n2", "nobody"}) {
+		t.Errorf("got silent members %v, want n2 and nobody", silent)
+	}
+}
