Lab: count no work that depends on time as a cost of a request

Trace: each recvfrom with its stack, and the copies of a run that held beside one that did not. A traced request took 1.2 ms in one and 9 ms in the other. (4) All of the 35 to 38 bytes copied more: the watch of the endpoint list, ticks and timers, by the time that the run took.

Change: stacks tell these events; they are reported as "periodic work" and "late client check" and are no part of a count. A client check counts as late only if the tracer saw more than the node's limit pass since the client's last bytes; it measures longer than the node, so a check made too early still counts. TestClientLeftBeforeWatch also asks for no check up to the limit, with an arrival time set.

--- a/internal/lab/path/count_calls_linux.go
+++ b/internal/lab/path/count_calls_linux.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 	"unsafe"
 )
 
@@ -34,18 +35,26 @@
 	countCopies bool         // count copies instead of system calls
 	done        chan struct{}
 
-	mu           sync.Mutex
-	tally        tally
-	pendingCalls map[int]callInfo // the system call that each thread is in; used only by the tracing goroutine
+	mu    sync.Mutex
+	tally tally
+
+	// The following fields are used only by the tracing goroutine.
+
+	pendingCalls map[int]callInfo     // the system call that each thread is in
+	lastReads    map[uint64]time.Time // end of the last read that brought bytes, by file descriptor
 }
 
-// callInfo is the name of a system call and the function that it is attributed to, if that is known.
-type callInfo struct{ name, function string }
+// callInfo describes a system call.
+type callInfo struct {
+	name     string
+	function string // the function that it is attributed to; "" if it is not attributed
+	fd       uint64 // the first argument, which is a file descriptor for reads
+}
 
 // startTracer starts counting in all threads of a child. The tracer ends when the child ends.
 func startTracer(pid int, s *stackReader, copies bool) (*tracer, error) {
 	t := &tracer{pid: pid, stackReader: s, countCopies: copies, done: make(chan struct{}), tally: newTally(),
-		pendingCalls: map[int]callInfo{}}
+		pendingCalls: map[int]callInfo{}, lastReads: map[uint64]time.Time{}}
 	mem, err := os.OpenFile(fmt.Sprintf("/proc/%d/mem", pid), os.O_RDWR, 0)
 	if err != nil {
 		return nil, fmt.Errorf("tracing: %w", err)
@@ -167,8 +176,11 @@
 		}
 		delete(t.pendingCalls, tid)
 		empty := 0.0
-		if syscall.Errno(-int64(s.numberOrResult)) == syscall.EAGAIN {
+		switch result := int64(s.numberOrResult); {
+		case syscall.Errno(-result) == syscall.EAGAIN:
 			empty = 1
+		case result > 0 && isSocketRead(in.name):
+			t.lastReads[in.fd] = time.Now()
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -197,11 +209,29 @@
 		kind, _, _ := strings.Cut(file, ":[")
 		name += " " + cmp.Or(strings.TrimPrefix(kind, "anon_inode:"), "file")
 	}
-	function := ""
-	if isSocketWrite(name) {
-		function = t.callerOf(tid)
+	if !isSocketWrite(name) && s.numberOrResult != syscall.SYS_RECVFROM {
+		return callInfo{name: name, fd: s.args[0]}
+	}
+	stack := t.stackOf(tid)
+	switch {
+	case isPeriodic(stack):
+		return callInfo{name: periodicWork}
+	case isSocketWrite(name):
+		return callInfo{name: name, function: attribute(trimPackage("syscall", stack))}
+	case isLateClientCheck(stack, t.sinceLastRead(s.args[0])):
+		return callInfo{name: lateClientCheck}
+	}
+	return callInfo{name: name}
+}
+
+// sinceLastRead returns the time since bytes were last read from a file descriptor; 0 if none were. The node measures a
+// shorter time, so a check that the node makes too early does not count as late.
+func (t *tracer) sinceLastRead(fd uint64) time.Duration {
+	lastRead, known := t.lastReads[fd]
+	if !known {
+		return 0
 	}
-	return callInfo{name, function}
+	return time.Since(lastRead)
 }
 
 func ptrace(request, tid int, addr, data uintptr) error {
--- a/internal/lab/path/count_copies_linux_amd64.go
+++ b/internal/lab/path/count_copies_linux_amd64.go
@@ -44,8 +44,12 @@
 	}
 	stack := t.stackReader.walk(t.memory, readWord(t.memory, registers.Rsp)-1, registers.Rbp)
 	if length := registers.Rcx; length > 0 && len(stack) > 0 && stack[0] != "runtime.copystack" { // stacks are not buffers
+		function := attribute(stack)
+		if isPeriodic(stack) {
+			function = periodicWork
+		}
 		t.mu.Lock()
-		addCount(t.tally.copiers, attribute(stack), float64(length))
+		addCount(t.tally.copiers, function, float64(length))
 		t.mu.Unlock()
 	}
 	registers.Rdi = registers.Rax
@@ -53,11 +57,11 @@
 	return syscall.PtraceSetRegs(tid, &registers) == nil
 }
 
-// callerOf returns the function to which the system call of a thread is attributed; "" if it cannot be determined.
-func (t *tracer) callerOf(tid int) string {
+// stackOf returns the functions on the stack of a stopped thread; none if they cannot be determined.
+func (t *tracer) stackOf(tid int) []string {
 	var registers syscall.PtraceRegs
 	if t.stackReader == nil || syscall.PtraceGetRegs(tid, &registers) != nil {
-		return ""
+		return nil
 	}
-	return attribute(trimPackage("syscall", t.stackReader.walk(t.memory, registers.Rip, registers.Rbp)))
+	return t.stackReader.walk(t.memory, registers.Rip, registers.Rbp)
 }
--- a/internal/lab/path/count_copies_other.go
+++ b/internal/lab/path/count_copies_other.go
@@ -11,4 +11,4 @@
 
 func (t *tracer) handleCopy(int) bool { return false }
 
-func (t *tracer) callerOf(int) string { return "" }
+func (t *tracer) stackOf(int) []string { return nil }
--- a/internal/lab/path/counts.go
+++ b/internal/lab/path/counts.go
@@ -8,9 +8,10 @@
 const (
 	CountAllocations = "allocations"
 	CountBytes       = "allocated_bytes"
-	CountWrites      = "write_calls"  // system calls that write to sockets
-	CountCalls       = "system_calls" // without schedulerCalls and without reads of sockets that found no data
-	CountCopied      = "copied_bytes" // bytes copied between buffers
+	CountWrites      = "write_calls" // system calls that write to sockets
+	// CountCalls is without schedulerCalls, reads of sockets that found no data, and what depends on time: see timed.go.
+	CountCalls  = "system_calls"
+	CountCopied = "copied_bytes" // bytes copied between buffers, without periodicWork
 )
 
 // countNames lists the counts in the order in which they are written.
@@ -33,12 +34,12 @@
 	}
 	if len(f.Calls) > 0 {
 		c[CountWrites], _ = sumEntries(f.Calls, isSocketWrite)
-		n, _ := sumEntries(f.Calls, func(name string) bool { return !schedulerCalls[name] })
+		n, _ := sumEntries(f.Calls, func(name string) bool { return !schedulerCalls[name] && dependsOnRequests(name) })
 		_, empty := sumEntries(f.Calls, isSocketRead) // the number of reads that are too early varies by chance
 		c[CountCalls] = n - empty
 	}
 	if len(f.Copiers) > 0 {
-		_, c[CountCopied] = sumEntries(f.Copiers, nil)
+		_, c[CountCopied] = sumEntries(f.Copiers, dependsOnRequests)
 	}
 	return c
 }
@@ -62,7 +63,7 @@
 	by := map[string]float64{}
 	for _, p := range entries {
 		switch {
-		case count == CountCalls && schedulerCalls[p.Name]:
+		case !dependsOnRequests(p.Name) || count == CountCalls && schedulerCalls[p.Name]:
 		case count == CountCalls && isSocketRead(p.Name):
 			by[p.Name] = p.Count - p.Sum
 		case bySum:
--- a/internal/lab/path/path_test.go
+++ b/internal/lab/path/path_test.go
@@ -10,6 +10,9 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
+
+	"olivebridge/internal/transport"
 )
 
 func TestAttribute(t *testing.T) {
@@ -36,6 +39,41 @@
 	}
 }
 
+// TestTimedEntries checks which events are no part of a count because they depend on time: those of periodic work, and
+// checks of a client whose request is older than the node's limit. A check that is made too early counts.
+func TestTimedEntries(t *testing.T) {
+	const node = modulePrefix + "internal/transport."
+	const check, watch = node + "(*clientConn).hasDisconnected", node + "(*clientConn).watchForClose"
+	for _, c := range []struct {
+		stack          string
+		sinceLastRead  time.Duration
+		periodic, late bool
+	}{
+		{node + "(*tcpConn).Peek " + check, transport.ImmediateSendWindow + 1, false, true},
+		{node + "(*tcpConn).Peek " + check, transport.ImmediateSendWindow, false, false},
+		{watch, transport.WatchDelay + 1, false, true},
+		{watch, transport.WatchDelay, false, false},
+		{node + "(*tcpConn).Peek " + node + "(*upstreamPool).get", time.Minute, false, false},
+		{node + "(*tcpConn).Peek " + node + "(*upstreamPool).sweep-fm", time.Minute, true, false},
+		{"net/http.(*Request).write net/http.(*persistConn).writeLoop", 0, true, false},
+		{"net/http.(*conn).serve", 0, false, false},
+	} {
+		stack := strings.Fields(c.stack)
+		periodic, late := isPeriodic(stack), isLateClientCheck(stack, c.sinceLastRead)
+		if periodic != c.periodic || late != c.late {
+			t.Errorf("%s, %v after the last read: periodic %v, late %v", c.stack, c.sinceLastRead, periodic, late)
+		}
+	}
+	timed := []Entry{{periodicWork, 3, 100}, {lateClientCheck, 1, 0}}
+	f := Figures{Calls: append(timed, Entry{"recvfrom", 1, 1}), Copiers: append(timed, Entry{"f", 2, 20})}
+	if got := f.computeCounts(); got[CountCalls] != 1 || got[CountCopied] != 20 {
+		t.Errorf("got %v, want 1 system call and 20 copied bytes", got)
+	}
+	if got := f.perFunction(CountCalls); !reflect.DeepEqual(got, map[string]float64{"recvfrom": 1}) {
+		t.Errorf("got system calls %v, want recvfrom alone", got)
+	}
+}
+
 const tolerances = `[rise.allocations]
 plus = 1
 [rise.allocated_bytes]
--- a/internal/transport/client_deadlines.go
+++ b/internal/transport/client_deadlines.go
@@ -49,7 +49,7 @@
 // deadline expired first.
 func (c *clientConn) waitForClientCheck() bool {
 	d := &c.deadlines
-	d.checkTimer.Reset(watchDelay)
+	d.checkTimer.Reset(WatchDelay)
 	defer d.checkTimer.Stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/transport/client_left_test.go
+++ b/internal/transport/client_left_test.go
@@ -230,7 +230,7 @@
 		c.Close()
 		for !m.clientLeft(1, time.Now()) {
 		}
-		found <- [2]bool{present, !m.clientLeft(0, m.arrivedAt)}
+		found <- [2]bool{present, !m.arrivedAt.IsZero() && !m.clientLeft(0, m.arrivedAt.Add(ImmediateSendWindow))}
 		<-ctx.Done()
 		close(found)
 		return routing.Answer{}, false
--- a/internal/transport/client_read.go
+++ b/internal/transport/client_read.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// watchDelay is the time for which a call is open before its client connection is watched for a disconnect. Most calls
+// WatchDelay is the time for which a call is open before its client connection is watched for a disconnect. Most calls
 // are answered within it. Before that, an attempt that is not sent immediately checks for a disconnect itself: see
 // hasDisconnected.
-const watchDelay = 10 * time.Millisecond
+const WatchDelay = 10 * time.Millisecond
 
 // Read implements net.Conn. It reads bytes while it holds conns.mu, so a close is decided either before or after the
 // read: a request whose bytes were read counts as accepted, and a close would lose it. A request that is still unread
--- a/internal/transport/request_message.go
+++ b/internal/transport/request_message.go
@@ -12,9 +12,9 @@
 	"olivebridge/internal/protocol"
 )
 
-// immediateSendWindow is the time after the arrival of a call within which its first attempt is sent without checking
+// ImmediateSendWindow is the time after the arrival of a call within which its first attempt is sent without checking
 // whether the client has disconnected.
-const immediateSendWindow = 250 * time.Microsecond
+const ImmediateSendWindow = 250 * time.Microsecond
 
 // maxBudgetLine is the length in bytes of the longest budget line, together with the empty line.
 const maxBudgetLine = len(protocol.HeaderTimeout) + len(": 3600.000\r\n\r\n")
@@ -135,7 +135,7 @@
 // clientLeft reports, before an attempt is sent, whether the client has disconnected. It saves the servers attempts
 // whose response nobody receives, because a client connection is not watched yet at the beginning of a call.
 func (m *requestMessage) clientLeft(attempt int, now time.Time) bool {
-	return m.client != nil && (attempt > 0 || now.Sub(m.arrivedAt) > immediateSendWindow) && m.client.hasDisconnected()
+	return m.client != nil && (attempt > 0 || now.Sub(m.arrivedAt) > ImmediateSendWindow) && m.client.hasDisconnected()
 }
 
 // retain adds a reference to the message and reports whether it succeeded. It fails once the last reference is
