Count a request from its arrival if it waited in the listener's queue

Cause: time that starts when the node allows it, as with long requests. The node had room for 241 connections, granted each lot of incomplete requests stalledGrace (0.3 s) from their reading, and the next lot, with the requests between them, lay in the listener's queue meanwhile. Those requests counted from their reading as well.

Change: a connection that is accepted with unread bytes which arrived 50 ms ago or earlier is marked as queued. After its first read the kernel is asked when bytes last arrived (TCP_INFO, last_data_recv): lastReadAt is that time, so a stalled request can be evicted at once, and the call's ReceivedAt too. Not taken: a shorter stalledGrace, which cuts slow clients in any crowd; SO_TIMESTAMP, which TCP lacks. No system call more for other connections: the state that is read at the accept holds that time.

--- a/internal/lab/rules/request.go
+++ b/internal/lab/rules/request.go
@@ -39,8 +39,8 @@
 // isLong reports whether a node forwards the request while its body is still arriving.
 func (r *request) isLong() bool { return r.body.size > maxBufferedBody }
 
-// isArriving reports whether bytes of a complete request are on their way to a node that still receives them. Its client
-// may have left behind them, which the node cannot know before they have arrived.
+// isArriving reports whether bytes of a complete request are on their way to a node that still receives them. Its
+// client may have left behind them, which the node cannot know before they have arrived.
 func (r *request) isArriving() bool {
 	return r.end > r.conn.forward.arrived && !r.conn.backward.ended && !r.conn.broken
 }
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -317,8 +317,12 @@
 	}},
 	{"long request held back", Late, nil, func(s *timeline) { s.longRequest(longRequestRead) }},
 	{"long request whose rest is on its way", "", nil, func(s *timeline) { s.longRequest(longRequestArrived) }},
-	{"long request that still arrives after its client left", "", nil, func(s *timeline) { s.forwardAfterClientLeft(false) }},
-	{"long request that its node ended after its client left", Hidden, nil, func(s *timeline) { s.forwardAfterClientLeft(true) }},
+	{"long request that still arrives after its client left", "", nil, func(s *timeline) {
+		s.forwardAfterClientLeft(false)
+	}},
+	{"long request that its node ended after its client left", Hidden, nil, func(s *timeline) {
+		s.forwardAfterClientLeft(true)
+	}},
 	{"slow transit to the node", "", nil, func(s *timeline) {
 		s.open("a", "c1", "n1:9000")
 		s.networkEvent(link.Sent, "a", false, requestBytes("a", "quote"), "")
--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -13,6 +13,8 @@
 	Conn
 	conns *clientConns
 	log   *connLog
+	// queued reports whether bytes of the connection waited in the listener's queue. It does not change.
+	queued bool
 
 	// conns.mu guards the fields from state to lingerUntil.
 
@@ -23,7 +25,8 @@
 	// requestStartedAt is the time when the first byte of the current request was read or, for a pipelined one, when the
 	// previous request was answered; the time when the connection was accepted if there was no request yet.
 	requestStartedAt time.Time
-	// lastReadAt is the time when bytes were last read.
+	// lastReadAt is the time when bytes were last read. If these waited in the listener's queue, it is the time of their
+	// arrival.
 	lastReadAt time.Time
 	// responseCount is the number of requests that have been answered.
 	responseCount int
@@ -61,6 +64,7 @@
 
 // noteRead records that n bytes were read. The caller must hold conns.mu.
 func (c *clientConn) noteRead(n int) {
+	first := c.lastReadAt.IsZero()
 	if c.state.beginRequest() {
 		c.requestStartedAt = time.Now()
 		c.responseWritten.Store(false)
@@ -72,6 +76,9 @@
 	}
 	c.moveTo(nil)
 	c.lastReadAt = time.Now()
+	if c.queued && first {
+		c.noteQueuedRead()
+	}
 	c.framing.feed(c.readBuf[:n])
 	c.state.noteRead(c.laterRequestStarted())
 }
--- a/internal/transport/client_conns.go
+++ b/internal/transport/client_conns.go
@@ -127,7 +127,7 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("client: %w", err)
 	}
-	c := &clientConn{Conn: wrapped, conns: cs, requestStartedAt: time.Now()}
+	c := &clientConn{Conn: wrapped, conns: cs, queued: waitedInQueue(wrapped), requestStartedAt: time.Now()}
 	c.deadlines.init()
 	c.beforeRead = c.checkReadable
 	c.afterRead = c.noteRead
--- a/internal/transport/request.go
+++ b/internal/transport/request.go
@@ -48,7 +48,7 @@
 		// Protects the servers: a server that reads no body after a GET takes the body for a request.
 		return call, http.StatusBadRequest, ambiguousRequest("body: none belongs to a GET")
 	}
-	call.ReceivedAt = time.Now()
+	call.ReceivedAt = c.receivedAt(time.Now())
 	if m.upload != nil {
 		call.StreamsBody = true
 		call.BodyReceived = m.upload.received
--- a/internal/transport/tcp_conn.go
+++ b/internal/transport/tcp_conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -18,6 +19,8 @@
 	raw syscall.RawConn
 	// stateKnown reports whether the kernel reports the state of the connection.
 	stateKnown bool
+	// quietBefore is sinceArrival when the connection was wrapped.
+	quietBefore time.Duration
 
 	// The arguments and results of ReadUnderLock, which is not called concurrently. They are fields because it is called
 	// for every request and would allocate each of them.
@@ -48,10 +51,38 @@
 	t := &tcpConn{TCPConn: c, raw: raw}
 	t.tryReadFunc = t.tryRead
 	t.peekFunc = t.peekAt
-	t.stateKnown = t.state() == tcpEstablished
+	info := t.info()
+	t.stateKnown = tcpState(info.State) == tcpEstablished
+	if t.stateKnown {
+		t.quietBefore = quietTime(info)
+	}
 	return t, nil
 }
 
+// info returns the state of the connection according to the kernel; zero if the kernel does not report it.
+func (t *tcpConn) info() (info unix.TCPInfo) {
+	_ = t.raw.Control(func(fd uintptr) {
+		if reported, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = *reported
+		}
+	})
+	return info
+}
+
+// sinceArrival returns the time since bytes last arrived, or since the connection was established if none have; 0 if
+// the kernel does not report it.
+func (t *tcpConn) sinceArrival() time.Duration {
+	if !t.stateKnown {
+		return 0
+	}
+	return quietTime(t.info())
+}
+
+// quietTime returns the time since the last arrival of bytes that info reports.
+func quietTime(info unix.TCPInfo) time.Duration {
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
 // tcpState is the state of a TCP connection as in TCP_INFO (include/net/tcp_states.h).
 type tcpState int
 
@@ -104,12 +135,8 @@
 
 // ReceivesMore implements Conn. It is always false if the kernel does not report the receive window.
 func (t *tcpConn) ReceivesMore() bool {
-	open := false
-	_ = t.raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		open = err == nil && t.stateKnown && info.Rcv_wnd > 0 && info.Rcv_wnd >= openWindowSegments*info.Rcv_mss
-	})
-	return open
+	info := t.info()
+	return t.stateKnown && info.Rcv_wnd > 0 && info.Rcv_wnd >= openWindowSegments*info.Rcv_mss
 }
 
 // dialTCP is the Dialer of nodes that use sockets. Keep-alive probes are off because attempts notice a silent
