--- a/internal/transport/upload.go
+++ b/internal/transport/upload.go
@@ -28,7 +28,7 @@
 var expiredDeadline = time.Unix(1, 0)
 
 // upload is a request body too long to be buffered. It is streamed as it arrives, to one server and only once. The
-// attempt that claims it reads it; upload_read.go reads ahead of that attempt if the client's time is running out.
+// attempt that claims it reads it; upload_watch.go reads ahead of that attempt if the client's time is running out.
 type upload struct {
 	conn       *clientConn
 	body       io.Reader
