Let no other goroutine take the descriptor of the successor in its test

Cause: the test left exactly one free descriptor for its own socket, and a goroutine of the node or of an earlier test could take it first. The error is that of the test's own socket(2), so the node is not at fault. Change: the socket exists before the shortage, in which no descriptor is free. The condition is the same and as strict: accept(2) has none until the limit is raised.

--- a/internal/node/predecessor_test.go
+++ b/internal/node/predecessor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -73,6 +74,13 @@
 		t.Fatal(err)
 	}
 	defer n.Abort()
+	// The successor's socket exists before the shortage: other goroutines could take a descriptor that is left for it.
+	socket, err := syscall.Socket(syscall.AF_UNIX, syscall.SOCK_SEQPACKET|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(socket), "successor")
+	defer file.Close()
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		t.Fatal(err)
@@ -82,16 +90,20 @@
 		t.Fatal(err)
 	}
 	syscall.Close(free)
-	one := syscall.Rlimit{Cur: uint64(free) + 1, Max: limit.Max} // one descriptor, which the connection below takes
-	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &one); err != nil {
+	none := syscall.Rlimit{Cur: uint64(free), Max: limit.Max} // all descriptors below free are in use
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &none); err != nil {
 		t.Fatal(err)
 	}
-	successor, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Net: "unixpacket", Name: path})
+	err = syscall.Connect(socket, &syscall.SockaddrUnix{Name: path})
 	time.Sleep(3 * acceptRetryInterval)
 	syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
 	if err != nil {
 		t.Fatal(err)
 	}
+	successor, err := net.FileConn(file)
+	if err != nil {
+		t.Fatal(err)
+	}
 	defer successor.Close()
 	successor.SetReadDeadline(time.Now().Add(5 * time.Second))
 	if size, err := successor.Read(make([]byte, 1<<10)); err != nil || size == 0 {
