Lab: read stacks and count copies on arm64

Cause: the registers of a traced thread were read on amd64 only.

The amd64 part was built and vetted only: no such machine was at hand.

--- a/internal/lab/path/count_calls_linux.go
+++ b/internal/lab/path/count_calls_linux.go
@@ -42,6 +42,7 @@
 
 	pendingCalls map[int]callInfo     // the system call that each thread is in
 	lastReads    map[uint64]time.Time // end of the last read that brought bytes, by file descriptor
+	copyEntry    [copyEntrySize]byte  // the instruction that the breakpoint has replaced, if countCopies is true
 }
 
 // callInfo describes a system call.
