Fleet: report no calls that were never proposed, and wait for slow voters

After an outage of the voters kept calls were refused or `running` for five more seconds; up to 48 got no final answer in 12 s.

Cause: a busy log, not a late majority. A request that waited for 250 ms was sent again although the leader committed the first one. A process that ended lost its reports.

Change: a refusal says if the request was certainly not proposed (optional field `never`; without it reports are made as before). A stream without a response carries one request at a time. A request waits for a voter that responds to others. A process that leaves waits up to 2 s for its reports.

--- a/cmd/olivefleet/fleet_node.go
+++ b/cmd/olivefleet/fleet_node.go
@@ -126,8 +126,15 @@
 // AnnounceLeave implements node.Fleet.
 func (f *fleetNode) AnnounceLeave() { f.membership.AnnounceLeave() }
 
+// maxReportWait limits the time for which a process that leaves the fleet continues to report on its calls. It covers
+// one retry of each report.
+const maxReportWait = 2 * time.Second
+
 // Leave implements node.Fleet.
 func (f *fleetNode) Leave() {
+	if f.calls != nil {
+		f.calls.service.WaitForReports(maxReportWait) // needs the membership, or the grace period after its release
+	}
 	f.membership.Leave()
 	f.subsets.Close()
 }
--- a/internal/fleet/callstore/client.go
+++ b/internal/fleet/callstore/client.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// requestTimeout limits the time for one request to a voter, and separately the time to dial the voter.
+	// requestTimeout limits the time for which a voter may respond to no request while one waits, and separately the time
+	// to dial or write to the voter.
 	requestTimeout = 250 * time.Millisecond
 	// redialInterval is the minimum interval between two dials to the same voter.
 	redialInterval = 200 * time.Millisecond
@@ -26,6 +27,23 @@
 // ErrNoLeader reports that no leader responded. The request may still have been committed.
 var ErrNoLeader = errors.New("nobody keeps the work")
 
+// errNotSent reports that a request was not written to a voter.
+var errNotSent = errors.New("the request was not sent")
+
+// noLeaderError is the error of a request to which no leader responded. It wraps ErrNoLeader.
+type noLeaderError struct {
+	// cause is the failure of the last attempt.
+	cause error
+	// mayBeCommitted is false if the request will certainly not be committed.
+	mayBeCommitted bool
+}
+
+// Error implements error.
+func (e *noLeaderError) Error() string { return fmt.Sprintf("%v: %v", ErrNoLeader, e.cause) }
+
+// Unwrap returns ErrNoLeader and the cause.
+func (e *noLeaderError) Unwrap() []error { return []error{ErrNoLeader, e.cause} }
+
 // clientConfig configures a client.
 type clientConfig struct {
 	name   string          // name of this node
@@ -78,41 +96,45 @@
 }
 
 // sendToLeader sends a request to the leader and retries until the leader responds. After the timeout, or when ctx is
-// done, it returns an error that wraps ErrNoLeader.
+// done, it returns a *noLeaderError.
 func (c *client) sendToLeader(ctx context.Context, r request, timeout time.Duration) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	voter := c.hint.Leader()
-	var resp response
-	var err error
+	failure := &noLeaderError{cause: errNotSent}
 	for {
 		if voter == "" {
 			voter = c.hint.NextVoter(c.config.voters())
 		}
 		if !c.isPaused() {
-			resp, err = c.sendToVoter(ctx, r, voter)
+			resp, err := c.sendToVoter(ctx, r, voter)
 			if err == nil && resp.Refusal == "" {
 				c.recordLeader(voter)
 				return resp, nil
 			}
-			c.recordRefusal(voter, resp.Leader)
+			failure.add(resp, err)
+			if !errors.Is(err, errUnproven) {
+				c.recordRefusal(voter, resp.Leader)
+			}
 			voter = resp.Leader
 		}
 		select {
 		case <-ctx.Done():
-			return resp, noLeaderError(err, resp.Refusal)
+			return response{}, failure
 		case <-time.After(retryInterval):
 		}
 	}
 }
 
-// noLeaderError returns an error that wraps ErrNoLeader and the failure of the last attempt: err or, if err is nil, the
-// refusal of the voter.
-func noLeaderError(err error, refusal string) error {
+// add records a failed attempt: a refusal of the voter, or err.
+func (e *noLeaderError) add(resp response, err error) {
 	if err == nil {
-		err = errors.New(refusal)
+		e.cause = errors.New(resp.Refusal)
+		e.mayBeCommitted = e.mayBeCommitted || !resp.NotProposed
+		return
 	}
-	return fmt.Errorf("%w: %w", ErrNoLeader, err)
+	e.cause = err
+	e.mayBeCommitted = e.mayBeCommitted || !errors.Is(err, errNotSent)
 }
 
 func (c *client) isPaused() bool {
@@ -150,7 +172,7 @@
 	}
 	s, err := c.connect(voter)
 	if err != nil {
-		return response{}, err
+		return response{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	return s.roundTrip(ctx, r)
 }
--- a/internal/fleet/callstore/command.go
+++ b/internal/fleet/callstore/command.go
@@ -74,6 +74,7 @@
 	Number      uint64      `json:"number"`
 	Refusal     string      `json:"refuse,omitempty"` // reason why the voter did not process the request; "" if it did
 	Leader      string      `json:"keeper,omitempty"` // set with Refusal: the leader known to the voter; "" if none
+	NotProposed bool        `json:"never,omitempty"`  // set with Refusal if the request will certainly not be committed
 	BeginResult BeginResult `json:"verdict,omitzero"`
 	EndAccepted bool        `json:"taken,omitempty"`
 }
--- a/internal/fleet/callstore/leader.go
+++ b/internal/fleet/callstore/leader.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"olivebridge/internal/fleet/member"
+	"olivebridge/internal/fleet/raftlog"
 )
 
 const (
@@ -34,13 +35,13 @@
 }
 
 // propose adds the ledger's time and the limits to a command and appends it to the log. It returns the result of
-// ledger.Apply, or ErrNoLeader if this process is not the leader.
+// ledger.Apply, or an error that wraps ErrNoLeader and raftlog.ErrNotProposed if this process is not the leader.
 func (s *Service) propose(c command) (any, error) {
 	s.mu.Lock()
 	log, ledger := s.log, s.ledger
 	if log == nil || !log.IsLeader() {
 		s.mu.Unlock()
-		return nil, ErrNoLeader
+		return nil, fmt.Errorf("%w: %w", ErrNoLeader, raftlog.ErrNotProposed)
 	}
 	if term := log.Term(); term != s.clock.term {
 		s.clock = termClock{term: term, base: ledger.now(), started: time.Now()}
--- a/internal/fleet/callstore/owner.go
+++ b/internal/fleet/callstore/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"olivebridge/internal/fleet/mutant"
@@ -18,6 +19,8 @@
 	// maxPendingReports is the limit on reports that are retried in the background. A report beyond the limit is dropped:
 	// the call keeps this process as its owner until the process ends, and then becomes Unknown.
 	maxPendingReports = 20000
+	// reportPollInterval is the interval at which WaitForReports checks the number of pending reports.
+	reportPollInterval = 10 * time.Millisecond
 	// handoverGrace is the duration for which a process continues to report on its calls after it handed over the node's
 	// membership. Package member lets such a process open streams for the same duration.
 	handoverGrace = 10 * time.Second
@@ -45,8 +48,10 @@
 	resp, err := s.client.sendToLeader(ctx, request{Begin: &begin}, beginTimeout)
 	if err != nil {
 		s.counters.failedBegins.Add(1)
-		// The leader may have granted the request although no response arrived. The call is not sent, so it is free.
-		s.reportInBackground(EndRequest{Key: begin.Key, Fingerprint: begin.Fingerprint, Owner: begin.Owner, State: Free})
+		if failure, ok := errors.AsType[*noLeaderError](err); !ok || failure.mayBeCommitted {
+			// The leader may have granted the request although no response arrived. The call is not sent, so it is free.
+			s.reportInBackground(EndRequest{Key: begin.Key, Fingerprint: begin.Fingerprint, Owner: begin.Owner, State: Free})
+		}
 		return BeginResult{}, err
 	}
 	if resp.BeginResult.Granted {
@@ -102,6 +107,14 @@
 	}
 }
 
+// WaitForReports waits until no report is pending, for the timeout at the longest. A process that ends calls it: a call
+// whose report is lost keeps its owner until the leader considers the process failed, and then becomes Unknown.
+func (s *Service) WaitForReports(timeout time.Duration) {
+	for end := time.Now().Add(timeout); s.pendingReports.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(reportPollInterval)
+	}
+}
+
 // mayReport reports whether this process holds the node's membership in the owner's incarnation, or did so less than
 // handoverGrace ago.
 func (s *Service) mayReport(owner Owner) bool {
--- a/internal/fleet/callstore/server.go
+++ b/internal/fleet/callstore/server.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
 	"time"
+
+	"olivebridge/internal/fleet/raftlog"
 )
 
 // maxConcurrentRequests is the limit on requests of one stream that are processed at the same time.
@@ -58,6 +61,7 @@
 	result, err := s.propose(command{Begin: r.Begin, End: r.End})
 	if err != nil {
 		resp.Refusal = err.Error()
+		resp.NotProposed = errors.Is(err, raftlog.ErrNotProposed)
 		resp.Leader = s.knownLeader()
 		return resp
 	}
--- a/internal/fleet/callstore/stream.go
+++ b/internal/fleet/callstore/stream.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"sync"
 	"time"
 )
 
 // silenceLimit is the longest time without any response on a stream. A request that times out after a longer silence
-// closes the stream.
+// closes the stream, because the connection is cut or the remote process is stopped. The next request opens a new one.
 const silenceLimit = 2 * requestTimeout
 
+// errUnproven reports that a stream has not received a response yet, and that another request waits for it.
+var errUnproven = fmt.Errorf("%w: the voter has not responded on this stream yet", errNotSent)
+
 // stream multiplexes concurrent requests over one connection to a voter.
 type stream struct {
 	conn net.Conn
@@ -23,6 +27,7 @@
 	lastNumber   uint64                   // number of the last request
 	pending      map[uint64]chan response // by request number; each channel has a buffer of one response
 	lastResponse time.Time                // time of the last response, initially the time at which the stream was opened
+	proven       bool                     // true once a response has arrived
 	err          error                    // reason why the stream is closed; nil while it is open
 }
 
@@ -55,6 +60,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastResponse = time.Now()
+	s.proven = true
 	if wait := s.pending[r.Number]; wait != nil {
 		wait <- r
 		delete(s.pending, r.Number)
@@ -81,8 +87,9 @@
 	}
 }
 
-// roundTrip sends one request and waits up to requestTimeout for its response. After an error the voter may still have
-// processed the request.
+// roundTrip sends one request and waits for its response, until the voter has not responded to any request for
+// requestTimeout. A voter that is slow is waited for: a request that is given up and sent again makes it slower. After
+// an error that does not wrap errNotSent, the voter may still have processed the request.
 func (s *stream) roundTrip(ctx context.Context, r request) (response, error) {
 	number, wait, err := s.register()
 	if err != nil {
@@ -96,27 +103,40 @@
 	}
 	timeout := time.NewTimer(requestTimeout)
 	defer timeout.Stop()
-	select {
-	case resp, open := <-wait:
-		if !open {
+	for {
+		select {
+		case resp, open := <-wait:
+			if !open {
+				return response{}, ErrNoLeader
+			}
+			return resp, nil
+		case <-timeout.C:
+			silence := s.silence()
+			if silence < requestTimeout {
+				timeout.Reset(requestTimeout - silence)
+				continue
+			}
+			if silence > silenceLimit {
+				s.close(ErrNoLeader)
+			}
 			return response{}, ErrNoLeader
+		case <-ctx.Done():
+			return response{}, ctx.Err()
 		}
-		return resp, nil
-	case <-timeout.C:
-		s.closeIfSilent()
-		return response{}, ErrNoLeader
-	case <-ctx.Done():
-		return response{}, ctx.Err()
 	}
 }
 
 // register allocates the number of a request and the channel on which its response arrives. The channel is closed if
-// the stream closes first.
+// the stream closes first. Until a response has arrived, only one request at a time may wait for it: a voter that is
+// stopped or cut off receives few requests, each of which it might still process later.
 func (s *stream) register() (uint64, chan response, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.err != nil {
-		return 0, nil, s.err
+		return 0, nil, fmt.Errorf("%w: %w", errNotSent, s.err)
+	}
+	if !s.proven && len(s.pending) > 0 {
+		return 0, nil, errUnproven
 	}
 	s.lastNumber++
 	wait := make(chan response, 1)
@@ -137,13 +157,9 @@
 	return s.encoder.Encode(r)
 }
 
-// closeIfSilent closes the stream if it has received no response for silenceLimit, because the connection is cut or the
-// remote process is stopped. The next request opens a new stream.
-func (s *stream) closeIfSilent() {
+// silence returns the time since the last response.
+func (s *stream) silence() time.Duration {
 	s.mu.Lock()
-	silent := time.Since(s.lastResponse) > silenceLimit
-	s.mu.Unlock()
-	if silent {
-		s.close(ErrNoLeader)
-	}
+	defer s.mu.Unlock()
+	return time.Since(s.lastResponse)
 }
--- a/internal/fleet/raftlog/log.go
+++ b/internal/fleet/raftlog/log.go
@@ -50,6 +50,9 @@
 // ErrClosed reports that this process closed its log. A command that was proposed before may still be committed.
 var ErrClosed = errors.New("the log is closed")
 
+// ErrNotProposed reports that a command was not appended to the log, so that it will never be committed.
+var ErrNotProposed = errors.New("the command was not proposed")
+
 // Log is this process's replica of a raft log. Its methods may be called from any goroutine.
 type Log struct {
 	name      string // name of this voter
@@ -175,7 +178,7 @@
 
 // Propose appends a command, encoded as JSON, waits until it is committed and applied, and returns the result of the
 // state machine. It returns an error if the state machine returns one, if this process is not the leader, or if the log
-// is closed meanwhile. In the last two cases the command may still be committed.
+// is closed meanwhile. In the last two cases the command may still be committed, unless the error wraps ErrNotProposed.
 func (l *Log) Propose(command any) (any, error) {
 	data, err := json.Marshal(command)
 	if err != nil {
@@ -183,7 +186,7 @@
 	}
 	future := l.raft.Apply(data, applyTimeout)
 	if err := l.await(future); err != nil {
-		return nil, err
+		return nil, proposeError(err)
 	}
 	if err, failed := future.Response().(error); failed {
 		return nil, err
@@ -191,6 +194,16 @@
 	return future.Response(), nil
 }
 
+// proposeError wraps an error of raft in ErrNotProposed if raft returns it only for commands that it has not appended.
+func proposeError(err error) error {
+	for _, notAppended := range []error{raft.ErrNotLeader, raft.ErrEnqueueTimeout, raft.ErrLeadershipTransferInProgress} {
+		if errors.Is(err, notAppended) {
+			return fmt.Errorf("%w: %w", ErrNotProposed, err)
+		}
+	}
+	return err
+}
+
 // await waits until a future completes or Close is called. Raft never completes the futures in its queue when it shuts
 // down, so that a caller that waits for the future alone could block forever.
 func (l *Log) await(future raft.Future) error {
--- a/internal/fleet/raftlog/log_test.go
+++ b/internal/fleet/raftlog/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -92,3 +93,22 @@
 		l.Close()
 	}
 }
+
+// TestNotProposed checks which errors promise that a command is never committed: those of a process that is not the
+// leader, but not those of a log that is closed while a command may be on its way.
+func TestNotProposed(t *testing.T) {
+	layer := NewStreamLayer("n1", func(string, time.Duration) (net.Conn, error) { return nil, net.ErrClosed })
+	l, err := Open(t.TempDir(), "n1", VoterSet{1, []string{"n1", "n2", "n3"}}, layer, &sumMachine{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.Propose(1); !errors.Is(err, ErrNotProposed) || !errors.Is(err, raft.ErrNotLeader) {
+		t.Errorf("without a quorum: got error %v, want ErrNotProposed and ErrNotLeader", err)
+	}
+	l.Close()
+	for _, err := range []error{raft.ErrLeadershipLost, raft.ErrRaftShutdown, raft.ErrAbortedByRestore, ErrClosed} {
+		if errors.Is(proposeError(err), ErrNotProposed) {
+			t.Errorf("%v: the command may have been appended", err)
+		}
+	}
+}
