Answer an incomplete request with 503 when its connection is evicted for another client

Cause: the request that has stalled for the longest time is evicted, and its connection was closed silently.

Change: a 503 is written before the close, unless a response has begun; from the decision on nothing else is written. Other evictions, of silent, idle or lingering connections, are as before.

--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -47,7 +47,10 @@
 	// responseWritten reports whether response bytes have been written for the current request or, while none has begun,
 	// for the previous one.
 	responseWritten atomic.Bool
-	deadlines       connDeadlines
+	// rejected reports whether the current request is rejected since its connection is evicted. Nothing else is written
+	// then.
+	rejected  atomic.Bool
+	deadlines connDeadlines
 }
 
 // checkReadable returns the error with which a read must fail because the close is decided; nil if reading may
@@ -179,7 +182,10 @@
 	if c.conns.aborted.Load() {
 		return 0, net.ErrClosed
 	}
-	c.responseWritten.Store(true)
+	c.responseWritten.Store(true) // before the check: see writeRejection
+	if c.rejected.Load() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Write(b)
 	if err != nil {
 		c.log.setReason(reasonClientGone)
--- a/internal/transport/client_conns.go
+++ b/internal/transport/client_conns.go
@@ -186,13 +186,14 @@
 	}
 }
 
-// closeConns closes or hands off connections on which no byte of a request was read. The caller must hold mu, which
-// closeConns releases during the closing itself.
+// closeConns closes or hands off connections on which no byte of a request was read, or rejects the incomplete request
+// if it has stalled. The caller must hold mu, which closeConns releases during the closing itself.
 func (cs *clientConns) closeConns(reason closeReason, conns ...*clientConn) {
 	handOff := cs.handOff
 	for _, c := range conns {
 		c.state.decideClose(handOff != nil)
 		c.moveTo(nil)
+		c.rejected.Store(reason == reasonStalled && handOff == nil)
 	}
 	cs.mu.Unlock()
 	defer cs.mu.Lock()
@@ -201,6 +202,9 @@
 			c.handOffTo(handOff)
 		}
 		c.log.setReason(reason)
+		if c.rejected.Load() {
+			c.writeRejection()
+		}
 		_ = c.closeNow(reason)
 	}
 }
