--- a/internal/lab/path/check.go
+++ b/internal/lab/path/check.go
@@ -155,7 +155,8 @@
 
 // Comments at the head of the two generated files.
 const (
-	tolerancesHead = `# What a request on the plain path cost when it was last accepted, by load, and how far each count may rise:
+	tolerancesHead = "" +
+		`# What a request on the plain path cost when it was last accepted, by load, and how far each count may rise:
 # by a part of it or by a number, whichever is more. "olivelab path --check" fails beyond that; "olivelab path
 # --accept" writes the counts anew and leaves the rises. docs/PATH.md says what is counted, and how.
 
--- a/internal/lab/path/child.go
+++ b/internal/lab/path/child.go
@@ -105,7 +105,7 @@
 			c.lines <- line
 		}
 	}
-	io.Copy(io.Discard, out)
+	_, _ = io.Copy(io.Discard, out)
 }
 
 // waitForLine waits for a log line of the child that matches pattern and returns its submatches.
@@ -149,9 +149,9 @@
 // kill kills the child, which has no state to save, and waits until it has ended.
 func (c *child) kill() {
 	c.endOnce.Do(func() {
-		c.cmd.Process.Kill()
+		_ = c.cmd.Process.Kill()
 		for range c.lines { // until the channel is closed
 		}
-		c.cmd.Wait() // fails: the child was ended by a signal, or the tracer reaped it first
+		_ = c.cmd.Wait() // fails: the child was ended by a signal, or the tracer reaped it first
 	})
 }
--- a/internal/lab/path/count_calls_linux.go
+++ b/internal/lab/path/count_calls_linux.go
@@ -63,7 +63,7 @@
 	t.memory = mem
 	ready := make(chan error, 1)
 	go func() {
-		defer mem.Close()
+		defer func() { _ = mem.Close() }()
 		runtime.LockOSThread() // ptrace is tied to a thread; the locked thread exits with the goroutine
 		defer close(t.done)
 		err := t.attach()
@@ -112,7 +112,7 @@
 			case err != nil:
 				return err
 			default:
-				ptrace(ptraceInterrupt, tid, 0, 0) // fails only if the thread has ended
+				_ = ptrace(ptraceInterrupt, tid, 0, 0) // fails only if the thread has ended
 			}
 		}
 	}
@@ -148,7 +148,7 @@
 		default:
 			deliver = int(signal)
 		}
-		ptrace(resume, tid, 0, uintptr(deliver)) // fails only if the thread was killed
+		_ = ptrace(resume, tid, 0, uintptr(deliver)) // fails only if the thread was killed
 	}
 }
 
--- a/internal/lab/path/count_copies_linux.go
+++ b/internal/lab/path/count_copies_linux.go
@@ -11,8 +11,8 @@
 // entry in the child's memory. Copies of a few bytes of constant size are inlined by the compiler and not counted.
 const copyFunction = "runtime.memmove"
 
-// setCopyBreakpoint writes the breakpoint to the entry of copyFunction, over an instruction that handleCopy emulates. It
-// fails if the function begins with another instruction than the one known, as it may with another version of Go.
+// setCopyBreakpoint writes the breakpoint to the entry of copyFunction, over an instruction that handleCopy emulates.
+// It fails if the function begins with another instruction than the one known, as it may with another version of Go.
 func (t *tracer) setCopyBreakpoint() error {
 	if t.stackReader == nil || t.stackReader.copyFunction == 0 {
 		return errors.New("the program has no symbols")
@@ -36,7 +36,8 @@
 		return false
 	}
 	stack := t.stackReader.walk(t.memory, registers.returnAddress(t.memory)-1, registers.frame())
-	if length := registers.copyLength(); length > 0 && len(stack) > 0 && stack[0] != "runtime.copystack" { // stacks are not buffers
+	// Stacks, which the runtime copies too, are not buffers.
+	if length := registers.copyLength(); length > 0 && len(stack) > 0 && stack[0] != "runtime.copystack" {
 		function := attribute(stack)
 		if isPeriodic(stack) {
 			function = periodicWork
--- a/internal/lab/path/count_process.go
+++ b/internal/lab/path/count_process.go
@@ -28,7 +28,7 @@
 	}
 	for _, t := range threads {
 		var waited, preempted float64
-		readNumbers(dir+"task/"+t.Name()+"/status", map[string]*float64{"voluntary_ctxt_switches": &waited,
+		_ = readNumbers(dir+"task/"+t.Name()+"/status", map[string]*float64{"voluntary_ctxt_switches": &waited,
 			"nonvoluntary_ctxt_switches": &preempted}) // fails if the thread has just ended
 		f.VoluntarySwitches += waited
 		f.InvoluntarySwitches += preempted
--- a/internal/lab/path/discovery.go
+++ b/internal/lab/path/discovery.go
@@ -40,7 +40,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(protocol.PathEndpoints, func(w http.ResponseWriter, r *http.Request) {
 		if r.FormValue("after") == "" {
-			io.WriteString(w, list)
+			_, _ = io.WriteString(w, list)
 			return
 		}
 		wait, _ := strconv.Atoi(r.FormValue("wait_ms")) // an invalid value becomes 0: respond at once
@@ -49,14 +49,14 @@
 		case <-life.Done():
 		case <-r.Context().Done():
 		}
-		io.WriteString(w, `{"version":1,"full":false,"servers":[]}`)
+		_, _ = io.WriteString(w, `{"version":1,"full":false,"servers":[]}`)
 	})
 	d := &discovery{addr: l.Addr().String(), server: &http.Server{Handler: mux}, stop: stop}
-	go d.server.Serve(l)
+	go func() { _ = d.server.Serve(l) }()
 	return d, nil
 }
 
 func (d *discovery) close() {
 	d.stop()
-	d.server.Close()
+	_ = d.server.Close()
 }
--- a/internal/lab/path/load.go
+++ b/internal/lab/path/load.go
@@ -142,7 +142,7 @@
 func (d *loadGenerator) close() {
 	for _, s := range d.conns {
 		if s.conn != nil {
-			s.conn.Close()
+			_ = s.conn.Close()
 		}
 	}
 }
@@ -176,11 +176,11 @@
 		if len(digits) != idDigits {
 			return false, errors.New("too many calls")
 		}
-		s.conn.SetDeadline(time.Now().Add(responseTimeout))
+		_ = s.conn.SetDeadline(time.Now().Add(responseTimeout))
 		if _, err = s.conn.Write(s.raw); err == nil {
 			served, last, err := s.readResponse()
 			if err == nil && last {
-				s.conn.Close()
+				_ = s.conn.Close()
 				s.conn = nil
 			}
 			if err == nil {
@@ -192,7 +192,7 @@
 		} else if fresh || attempt > 0 {
 			return false, fmt.Errorf("sending a request: %w", err)
 		}
-		s.conn.Close()
+		_ = s.conn.Close()
 		s.conn = nil
 	}
 }
--- a/internal/lab/path/meter.go
+++ b/internal/lab/path/meter.go
@@ -65,15 +65,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("a place for what is built: %w", err)
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	m := &meter{Options: o, dir: dir}
-	if m.profiledNode = m.Node; m.Node == "" {
-		if m.Node, err = m.build(ctx, "node"); err != nil {
-			return nil, err
-		}
-		if m.profiledNode, err = m.build(ctx, "profiled-node", "-tags", profileTag); err != nil {
-			return nil, err
-		}
+	if err := m.buildNodes(ctx); err != nil {
+		return nil, err
 	}
 	r := &Report{Go: runtime.Version(), Short: o.Short}
 	if m.stackReader, err = readSymbols(m.Node); err != nil {
@@ -91,24 +86,45 @@
 		if len(o.Loads) > 0 && !slices.Contains(o.Loads, l.Name) {
 			continue
 		}
-		f, err := m.measurePairs(ctx, l)
-		if err != nil {
-			return nil, err
-		}
-		missing, err := m.countByFunction(ctx, l, &f)
-		if err != nil {
+		if err := m.measureLoad(ctx, l, r); err != nil {
 			return nil, err
 		}
-		for _, why := range missing {
-			if !slices.Contains(r.NotCounted, why.Error()) {
-				r.NotCounted = append(r.NotCounted, why.Error())
-			}
-		}
-		r.Loads = append(r.Loads, f)
 	}
 	return r, nil
 }
 
+// buildNodes sets Node and profiledNode: to the program that Options names or, if it names none, to two builds.
+func (m *meter) buildNodes(ctx context.Context) (err error) {
+	if m.Node != "" {
+		m.profiledNode = m.Node
+		return nil
+	}
+	if m.Node, err = m.build(ctx, "node"); err != nil {
+		return err
+	}
+	m.profiledNode, err = m.build(ctx, "profiled-node", "-tags", profileTag)
+	return err
+}
+
+// measureLoad runs one load and adds its cost to a report.
+func (m *meter) measureLoad(ctx context.Context, l Load, r *Report) error {
+	f, err := m.measurePairs(ctx, l)
+	if err != nil {
+		return err
+	}
+	missing, err := m.countByFunction(ctx, l, &f)
+	if err != nil {
+		return err
+	}
+	for _, why := range missing {
+		if !slices.Contains(r.NotCounted, why.Error()) {
+			r.NotCounted = append(r.NotCounted, why.Error())
+		}
+	}
+	r.Loads = append(r.Loads, f)
+	return nil
+}
+
 // build builds the node from the source tree with the given flags of the go command and returns its path.
 func (m *meter) build(ctx context.Context, name string, flags ...string) (string, error) {
 	m.logProgress("building the %s", name)
@@ -129,7 +145,7 @@
 // logProgress writes a line to Options.Progress.
 func (m *meter) logProgress(format string, args ...any) {
 	if m.Progress != nil {
-		fmt.Fprintf(m.Progress, format+"\n", args...)
+		_, _ = fmt.Fprintf(m.Progress, format+"\n", args...)
 	}
 }
 
--- a/internal/lab/path/peers.go
+++ b/internal/lab/path/peers.go
@@ -70,7 +70,7 @@
 		p.mu.Lock()
 		if p.closed {
 			p.mu.Unlock()
-			conn.Close()
+			_ = conn.Close()
 			return
 		}
 		p.open[conn] = true
@@ -78,7 +78,7 @@
 		p.mu.Unlock()
 		p.serving.Go(func() {
 			serveConn(conn)
-			conn.Close()
+			_ = conn.Close()
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			delete(p.open, conn)
@@ -119,12 +119,12 @@
 // close closes the listeners and all connections and waits until their goroutines have ended.
 func (p *stubServers) close() {
 	for _, l := range p.listeners {
-		l.Close()
+		_ = l.Close()
 	}
 	p.mu.Lock()
 	p.closed = true
 	for conn := range p.open {
-		conn.Close()
+		_ = conn.Close()
 	}
 	p.mu.Unlock()
 	p.serving.Wait()
--- a/internal/lab/path/proxy.go
+++ b/internal/lab/path/proxy.go
@@ -41,14 +41,14 @@
 			ErrorLog:  log.New(out, "", 0),
 		},
 	}
-	fmt.Fprintf(out, "msg=started listen=%s\n", l.Addr())
+	_, _ = fmt.Fprintf(out, "msg=started listen=%s\n", l.Addr())
 	go func() {
 		for {
 			select {
 			case <-asked:
-				fmt.Fprintf(out, "msg=counters when=asked process=%q\n", cost.Read())
+				_, _ = fmt.Fprintf(out, "msg=counters when=asked process=%q\n", cost.Read())
 			case <-ctx.Done():
-				server.Close()
+				_ = server.Close()
 				return
 			}
 		}
--- a/internal/lab/path/report.go
+++ b/internal/lab/path/report.go
@@ -96,10 +96,10 @@
 // Text writes the report as plain text.
 func (r *Report) Text(w io.Writer) {
 	for _, f := range r.Loads {
-		fmt.Fprintf(w, "%s: %s, %d requests\n", f.Load, f.About, f.Requests)
-		fmt.Fprintf(w, "  %-24s %12s %14s\n", "per request", "olivebridge", "ReverseProxy")
+		_, _ = fmt.Fprintf(w, "%s: %s, %d requests\n", f.Load, f.About, f.Requests)
+		_, _ = fmt.Fprintf(w, "  %-24s %12s %14s\n", "per request", "olivebridge", "ReverseProxy")
 		writeRow := func(name, form string, a, b float64) {
-			fmt.Fprintf(w, "  %-24s %12s %14s\n", name, fmt.Sprintf(form, a), fmt.Sprintf(form, b))
+			_, _ = fmt.Fprintf(w, "  %-24s %12s %14s\n", name, fmt.Sprintf(form, a), fmt.Sprintf(form, b))
 		}
 		n, p := f.Node, f.Proxy
 		writeRow("allocations", "%.1f", n.Allocations, p.Allocations)
@@ -114,11 +114,11 @@
 		writeRow("processor us, system", "%.1f", n.SystemMicros, p.SystemMicros)
 		writeRow("processor us", "%.1f", n.Micros, p.Micros)
 		writeRow("busy, part of the time", "%.2f", n.BusyFraction, p.BusyFraction)
-		fmt.Fprintf(w, "  processor time, of ReverseProxy's: %.3f (pairs: %.3f)\n", f.Ratio, f.Ratios)
+		_, _ = fmt.Fprintf(w, "  processor time, of ReverseProxy's: %.3f (pairs: %.3f)\n", f.Ratio, f.Ratios)
 		f.writeFunctionCounts(w)
 	}
 	for _, why := range r.NotCounted {
-		fmt.Fprintf(w, "not counted: %s\n", why)
+		_, _ = fmt.Fprintf(w, "not counted: %s\n", why)
 	}
 }
 
@@ -140,14 +140,14 @@
 			continue
 		}
 		n, sum := sumEntries(part.places, nil)
-		fmt.Fprintf(w, "  %s: %.2f; %s: %.2f\n", part.title, n, part.sumLabel, sum)
+		_, _ = fmt.Fprintf(w, "  %s: %.2f; %s: %.2f\n", part.title, n, part.sumLabel, sum)
 		for i, p := range part.places {
 			if i == maxShownEntries {
-				fmt.Fprintf(w, "    and %d more\n", len(part.places)-maxShownEntries)
+				_, _ = fmt.Fprintf(w, "    and %d more\n", len(part.places)-maxShownEntries)
 				break
 			}
-			fmt.Fprintf(w, "    %8.2f %10.2f  %s\n", p.Count, p.Sum, p.Name)
+			_, _ = fmt.Fprintf(w, "    %8.2f %10.2f  %s\n", p.Count, p.Sum, p.Name)
 		}
 	}
-	fmt.Fprintln(w)
+	_, _ = fmt.Fprintln(w)
 }
--- a/internal/lab/path/stacks_linux.go
+++ b/internal/lab/path/stacks_linux.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("symbols: %s: %w", program, err)
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	if f.Type != elf.ET_EXEC {
 		return nil, fmt.Errorf("symbols: %s: its addresses are not fixed", program)
 	}
--- a/internal/lab/path/traced.go
+++ b/internal/lab/path/traced.go
@@ -92,7 +92,7 @@
 	// Let the tracer reap the child before anything else waits for it: of two waiters for one process, Linux may leave
 	// one blocked.
 	defer func() {
-		c.cmd.Process.Kill()
+		_ = c.cmd.Process.Kill()
 		select {
 		case <-t.done:
 		case <-time.After(responseTimeout):
--- a/internal/lab/world/client/conn.go
+++ b/internal/lab/world/client/conn.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"errors"
 	"slices"
 
 	"olivebridge/internal/lab/figure"
@@ -181,7 +182,7 @@
 
 // End implements link.Handler.
 func (k *conn) End(c link.Conn, err error) {
-	if err == link.ErrEOF {
+	if errors.Is(err, link.ErrEOF) {
 		k.parser.Close()
 		k.readResponses() // completes a response that ends with the connection
 		if k.closed {
@@ -190,7 +191,7 @@
 		c.Close()
 	}
 	unreadIndex := -1 // index of the attempt that the node provably did not read; it may have read those before
-	if n := len(k.inFlight) - 1; err == link.ErrUnread && (n > 0 || !k.partialResponse) {
+	if n := len(k.inFlight) - 1; errors.Is(err, link.ErrUnread) && (n > 0 || !k.partialResponse) {
 		unreadIndex = n
 	}
 	index := -1
@@ -199,7 +200,7 @@
 		switch {
 		case index == unreadIndex && !t.resent:
 			return resend
-		case index == unreadIndex, err == link.ErrRefused, err == link.ErrTimedOut, !t.sent:
+		case index == unreadIndex, errors.Is(err, link.ErrRefused), errors.Is(err, link.ErrTimedOut), !t.sent:
 			return unreached
 		}
 		return failed
--- a/internal/lab/world/client/front.go
+++ b/internal/lab/world/client/front.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -192,7 +193,7 @@
 
 // End implements link.Handler.
 func (c *readinessCheck) End(_ link.Conn, err error) {
-	if err == link.ErrEOF {
+	if errors.Is(err, link.ErrEOF) {
 		c.parser.Close()
 		c.read()
 	}
--- a/internal/lab/world/client/group.go
+++ b/internal/lab/world/client/group.go
@@ -145,7 +145,7 @@
 // keyName returns the tenant's i-th most popular key, which is the same for all groups of the tenant.
 func keyName(tenant string, i int) string {
 	h := fnv.New64a()
-	fmt.Fprintf(h, "%s %d", tenant, i)
+	_, _ = fmt.Fprintf(h, "%s %d", tenant, i)
 	return fmt.Sprintf("%016x", h.Sum64())
 }
 
--- a/internal/lab/world/client/request.go
+++ b/internal/lab/world/client/request.go
@@ -199,7 +199,7 @@
 		return
 	}
 	c.tallies[r.class].Retries++
-	c.env.Loop.After(r.backoff(t, retryAfter), func() {
+	c.env.Loop.After(r.backoff(retryAfter), func() {
 		if c.stopped {
 			r.complete(o)
 			return
@@ -219,7 +219,7 @@
 
 // backoff returns the delay before a retry: the client's own, or the node's
 // Retry-After, limited to the maximum of the contract.
-func (r *request) backoff(t *attempt, retryAfter time.Duration) time.Duration {
+func (r *request) backoff(retryAfter time.Duration) time.Duration {
 	own := figure.Uniform(r.draws, 0.5, 1.5)
 	honoursHeader := r.draws.Float64() < r.group.config.Honour
 	if honoursHeader && retryAfter > 0 {
--- a/internal/lab/world/peer/harness_test.go
+++ b/internal/lab/world/peer/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -57,7 +58,7 @@
 
 func (e *fakeConn) receiveEnd(err error) {
 	if !e.closed {
-		e.closed = err != link.ErrEOF
+		e.closed = !errors.Is(err, link.ErrEOF)
 		e.handler.End(e, err)
 	}
 }
@@ -168,7 +169,7 @@
 	}
 	a.raw = append(a.raw, b...)
 	a.parser.Feed(b)
-	for m, err := a.parser.Next(); m != nil || err != a.parseErr; m, err = a.parser.Next() {
+	for m, err := a.parser.Next(); m != nil || !errors.Is(err, a.parseErr); m, err = a.parser.Next() {
 		if a.parseErr = err; m != nil {
 			a.responses = append(a.responses, m)
 		}
--- a/internal/lab/world/peer/peer_test.go
+++ b/internal/lab/world/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -139,7 +140,7 @@
 		"fail":      {(*Peer).Fail, func(s seen) bool { return s.status() >= 500 && s.took < 6*ms }, 40},
 		"turn away": {(*Peer).RejectRequests, func(s seen) bool { return s.status() == 503 && s.took < 6*ms }, 0},
 		"silent":    {(*Peer).Silent, func(s seen) bool { return len(s.raw) == 0 && s.err == nil }, 40},
-		"break":     {(*Peer).Break, func(s seen) bool { return len(s.raw) == 0 && s.err == link.ErrReset }, 25},
+		"break":     {(*Peer).Break, func(s seen) bool { return len(s.raw) == 0 && errors.Is(s.err, link.ErrReset) }, 25},
 		"spoil": {(*Peer).Spoil, func(s seen) bool {
 			return len(s.raw) > 0 && s.responses == nil && s.err == nil
 		}, 40},
@@ -278,7 +279,7 @@
 	} {
 		r := runPeer(t, world.Peer{}, func(r *harness) { r.send(sec, text) })
 		r.expect(text, r.conns[0].status(), want)
-		r.expect(text+": closed", r.conns[0].err == link.ErrEOF, want == 400)
+		r.expect(text+": closed", errors.Is(r.conns[0].err, link.ErrEOF), want == 400)
 	}
 }
 
--- a/internal/lab/world/registry/registry_test.go
+++ b/internal/lab/world/registry/registry_test.go
@@ -272,7 +272,7 @@
 // Each fault must be visible to clients, and only while it is active.
 func TestFaults(t *testing.T) {
 	broken := func(a *nodeClient) bool {
-		return len(a.answers) == 0 && (a.end == link.ErrReset || a.end == link.ErrEOF)
+		return len(a.answers) == 0 && (errors.Is(a.end, link.ErrReset) || errors.Is(a.end, link.ErrEOF))
 	}
 	for _, c := range []struct {
 		name  string
@@ -396,7 +396,7 @@
 			l.Started("p4", fmt.Sprintf("p4:%d", 9000+i), l.loop.Now(), true) // a change listed at the new address only
 			fresh := l.get(spare, fmt.Sprintf("?after=%d", version))
 			l.runUntil(now + 1500*time.Millisecond)
-			if len(old.answers) > 0 || old.end != nil || late.end != link.ErrRefused {
+			if len(old.answers) > 0 || old.end != nil || !errors.Is(late.end, link.ErrRefused) {
 				t.Errorf("old address: open watch %s, want none; new connection %s, want refused", old.summary(), late.summary())
 			}
 			if !strings.Contains(fresh.summary(), "p4:Ready") {
