Fleet: keep room in a subset for the servers of every zone and kind

Cause: strata are assigned one after the other, and a node may exceed the mean of each by a tenth, but its total by a fiftieth only; one that took more of the first eight had no room for the last.

Change: in the first pass a node keeps room for a tenth of its mean of the strata that follow.

--- a/internal/fleet/subset/assignment.go
+++ b/internal/fleet/subset/assignment.go
@@ -16,6 +16,10 @@
 	loadSlack = 1.02
 	// stratumSlack is the maximum number of servers of a node in one stratum, as a multiple of the mean of the stratum.
 	stratumSlack = 1.1
+	// reservedFraction is the part of a node's mean number of servers in the following strata for which it keeps room.
+	// Without any, a node that reaches its total early has no server of the last stratum. More would spread the load more
+	// evenly, but move servers of fleets that have no such node.
+	reservedFraction = 0.1
 	// stepGrowth is the ratio of consecutive steps in roundUpToStep.
 	stepGrowth = 1.1
 	// stepTolerance is the amount by which rounding errors may make a step too large.
@@ -53,17 +57,21 @@
 	return a
 }
 
-// run assigns each server to copies nodes, stratum by stratum. In each stratum, it first respects both bounds, then
-// only the bound on a node's total, and finally no bound.
+// run assigns each server to copies nodes, stratum by stratum. In each stratum, it first respects both bounds and keeps
+// room for the following strata, then only the bounds, then only the bound on a node's total, and finally no bound.
 func (a *assignment) run() *assignment {
 	unbounded := len(a.servers)
 	maxLoad := roundUpToStep(a.mean(len(a.servers)) * loadSlack)
+	following := len(a.servers) // number of servers in the strata after the current one
 	for _, stratumServers := range a.strata() {
+		following -= len(stratumServers)
 		slices.SortFunc(stratumServers, func(i, j int) int {
 			return cmp.Or(cmp.Compare(mix64(a.servers[i].ID), mix64(a.servers[j].ID)), cmp.Compare(i, j))
 		})
 		stratumLoads := make([]int, len(a.names))
 		maxStratumLoad := roundUpToStep(a.mean(len(stratumServers)) * stratumSlack)
+		reserved := int(a.mean(following) * reservedFraction)
+		a.assign(stratumServers, stratumLoads, maxStratumLoad, maxLoad-reserved)
 		a.assign(stratumServers, stratumLoads, maxStratumLoad, maxLoad)
 		a.assign(stratumServers, stratumLoads, unbounded, maxLoad)
 		a.assign(stratumServers, stratumLoads, unbounded, unbounded)
--- a/internal/fleet/subset/subset_test.go
+++ b/internal/fleet/subset/subset_test.go
@@ -172,3 +172,22 @@
 		t.Errorf("of %d parts of a stratum, %d exceed the bound, want at most a 14th", total, aboveBound)
 	}
 }
+
+// A node whose total reaches its bound early still has servers of every stratum. Before, n5 had none of the last one.
+func TestRoomForEveryStratum(t *testing.T) {
+	const zones, kinds = 3, 3
+	servers := group(250, zones)
+	strata := map[uint64]stratum{}
+	for _, server := range servers {
+		strata[server.ID] = stratum{server.Zone, server.Kind}
+	}
+	for name, ids := range (Plan{Copies: 5}).Assign(nodes(12, 1), servers) {
+		has := map[stratum]bool{}
+		for _, id := range ids {
+			has[strata[id]] = true
+		}
+		if len(has) != zones*kinds {
+			t.Errorf("%s has servers of %d strata, want %d, in a subset of %d servers", name, len(has), zones*kinds, len(ids))
+		}
+	}
+}
