--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -9,4 +9,4 @@
 		exit 2
 	fi
 done
-exec ../bin/rig2 many-at-once "$root" record.txt
+exec ../bin/rig2 upload-at-restart "$root" record.txt
