Review: an order runs twice beside a killed successor (case 6)

Cause: a process that drains has closed its listener and cannot hand over any more; a process started beside it decides on ids alone.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -9,4 +9,4 @@
 		exit 2
 	fi
 done
-exec ../bin/rig2 length-of-request "$root" record.txt
+exec ../bin/rig2 upload-at-restart "$root" record.txt
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -29,6 +29,7 @@
 	"ban-of-one-node":   banOfOneNode,
 	"second-answer":     secondAnswer,
 	"length-of-answer":  lengthOfAnswer,
+	"copy-after-kill":   copyAfterKill,
 	"length-of-request": lengthOfRequest,
 }
 
