--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p bin
-GOFLAGS=-mod=mod GOWORK=off go build -o bin/ ./rig2
+GOFLAGS="-mod=mod -buildvcs=false" GOWORK=off go build -o bin/ ./rig2
