Fail an answer behind which bytes follow that may be the end of its body

Cause: UpstreamTransport.receive served an answer of announced length whatever followed it. Change: a body of announced length is read with room for a status line behind it, at no further system call. A further status line proves the body whole, as the last chunk does. Other bytes make a failed attempt that may have run: its class decides on a second one, else 502 at once. Of a streamed answer the last bytes are held back and the client's connection is aborted. A health check needs its status alone. Lab: spoil draws such answers and tells the judge, which read them by the same length.

--- a/internal/lab/event/observer.go
+++ b/internal/lab/event/observer.go
@@ -18,6 +18,9 @@
 	// peer, in seconds of a core of speed 1. capacity is the peer's current
 	// capacity, in seconds of such a core per second.
 	PeerAttempt(peer, call string, work, capacity float64)
+	// PeerMisframed reports that a peer is about to send, in place of the answer
+	// to a call, one whose announced length makes another body of it.
+	PeerMisframed(peer, call string)
 	// PeerListed reports a change of discovery's endpoint list, with its version.
 	// state is Ready, Terminating or Gone. started is the time of the peer's last
 	// start since the run began; 0 if it started before the run.
@@ -58,6 +61,9 @@
 // PeerAttempt implements Observer.
 func (NopObserver) PeerAttempt(string, string, float64, float64) {}
 
+// PeerMisframed implements Observer.
+func (NopObserver) PeerMisframed(string, string) {}
+
 // PeerListed implements Observer.
 func (NopObserver) PeerListed(int64, string, string, string, time.Duration) {}
 
--- a/internal/lab/rules/judge.go
+++ b/internal/lab/rules/judge.go
@@ -74,6 +74,7 @@
 
 	peerNames   map[string]string        // names of peers, by address
 	coldStarts  map[string]*coldStart    // by peer
+	misframed   map[peerCall]bool        // attempts whose answer is not the one that the peer made
 	lastUsed    map[string]time.Duration // when any node last began an attempt, by peer
 	listings    listingLog
 	unreachable map[discoveryRoute]bool // true for routes on which polls are not served
@@ -93,6 +94,7 @@
 		malformedConns: map[string]malformedInput{},
 		peerNames:      map[string]string{},
 		coldStarts:     map[string]*coldStart{},
+		misframed:      map[peerCall]bool{},
 		lastUsed:       map[string]time.Duration{},
 		listings:       newListingLog(),
 		unreachable:    map[discoveryRoute]bool{},
--- a/internal/lab/rules/observer.go
+++ b/internal/lab/rules/observer.go
@@ -24,6 +24,12 @@
 	j.checkColdLoad(peer, call, work, capacity)
 }
 
+// PeerMisframed implements event.Observer.
+func (j *Judge) PeerMisframed(peer, call string) {
+	j.clock()
+	j.misframed[peerCall{peer, call}] = true
+}
+
 // PeerListed implements event.Observer.
 func (j *Judge) PeerListed(version int64, peer, addr, state string, started time.Duration) {
 	j.listings.append(listing{
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -385,6 +385,13 @@
 		s.peerAnswer("a1", "200 more")
 		s.answer("b", "200 more")
 	}},
+	{"peer's answer cut by its own length", Wrong, nil, func(s *timeline) {
+		s.request("a", "quote")
+		s.attempt("a1", "quote")
+		s.j.PeerMisframed("p1", "a")
+		s.peerAnswer("a1", "200 a")
+		s.answer("a", "200 a")
+	}},
 	{"peer's answer with two lengths", Wrong, nil, func(s *timeline) {
 		s.request("a", "quote")
 		s.attempt("a1", "quote")
--- a/internal/lab/stage/build.go
+++ b/internal/lab/stage/build.go
@@ -121,6 +121,11 @@
 	f.each(func(w event.Observer) { w.PeerAttempt(peer, call, work, capacity) })
 }
 
+// PeerMisframed implements event.Observer.
+func (f observers) PeerMisframed(peer, call string) {
+	f.each(func(w event.Observer) { w.PeerMisframed(peer, call) })
+}
+
 // PeerListed implements event.Observer.
 func (f observers) PeerListed(version int64, peer, addr, state string, started time.Duration) {
 	f.each(func(w event.Observer) { w.PeerListed(version, peer, addr, state, started) })
--- a/internal/lab/stage/watch.go
+++ b/internal/lab/stage/watch.go
@@ -68,6 +68,9 @@
 // PeerAttempt implements event.Observer.
 func (w *sampler) PeerAttempt(string, string, float64, float64) {}
 
+// PeerMisframed implements event.Observer.
+func (w *sampler) PeerMisframed(string, string) {}
+
 // PeerListed implements event.Observer.
 func (w *sampler) PeerListed(_ int64, peer, _, state string, _ time.Duration) {
 	if w.run.loop.Now() > 0 {
--- a/internal/lab/world/peer/answer.go
+++ b/internal/lab/world/peer/answer.go
@@ -138,7 +138,7 @@
 	return b
 }
 
-// Kinds of unreadable responses.
+// Kinds of unreadable responses. The last can be read, but not as what it is.
 const (
 	unreadableNoise       = iota
 	unreadableHead            // malformed status line or header field
@@ -146,6 +146,7 @@
 	unreadableShortBody       // body shorter than Content-Length, then silence
 	unreadableTwoLengths      // two Content-Length fields, or Content-Length and chunked encoding
 	unreadableHugeBody        // Content-Length of 1 GiB, and a body that is sent piece by piece
+	unreadableLongBody        // body longer than Content-Length
 	unreadableKinds       int = iota
 )
 
@@ -185,6 +186,10 @@
 		}
 		c.link.Write(fmt.Appendf(nil, "%sContent-Length: %d\r\nContent-Length: %d\r\n\r\n%s",
 			head, len(body), len(body)-1-r.IntN(5), body))
+	case unreadableLongBody:
+		p.env.Observer.PeerMisframed(p.config.Name, a.id)
+		missing := min(1+r.IntN(100), len(body))
+		c.link.Write(fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, len(body)-missing, body))
 	default:
 		c.link.Write(fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, 1<<30, body))
 		c.keepSending(hugeBodyBytes, func() []byte { return appendLetters(r, nil, 16<<10) })
--- a/internal/transport/response_stream.go
+++ b/internal/transport/response_stream.go
@@ -50,6 +50,8 @@
 	deadline time.Time
 	// closeAfter is true if the connection closes after the response.
 	closeAfter bool
+	// end is what follows the body, once all of it has been read.
+	end bodyEnd
 
 	transferPace // pace of the server
 
@@ -70,15 +72,20 @@
 		}
 		return 0, io.EOF
 	}
-	if int64(len(b)) > s.remaining {
-		b = b[:s.remaining]
-	}
+	b = s.limit(b)
 	started := time.Now()
 	_ = s.conn.SetReadDeadline(s.readDeadline(started))
 	s.setWaiting(true)
 	n, err := s.body.Read(b)
 	s.setWaiting(false)
 	s.add(n, started)
+	if int64(n) > s.remaining {
+		s.end = newBodyEnd(b[s.remaining:n])
+		n = int(s.remaining)
+	}
+	if s.end.unproven { // without its last bytes, the client can tell that the response is incomplete
+		return 0, errBodyExceedsLength
+	}
 	s.remaining -= int64(n)
 	if err == io.EOF && s.length >= 0 && s.remaining > 0 {
 		err = io.ErrUnexpectedEOF
@@ -89,6 +96,20 @@
 	return n, err
 }
 
+// limit shortens the buffer of a read. A read that can end a body of announced length has room for a status line after
+// it, so that the read sees what has arrived with the last bytes.
+func (s *responseStream) limit(b []byte) []byte {
+	available := int64(len(b))
+	const room = int64(len(statusLinePattern))
+	switch {
+	case s.length < 0:
+		return b[:min(available, s.remaining)]
+	case s.remaining+room <= available:
+		return b[:s.remaining+room]
+	}
+	return b[:min(available, max(s.remaining-room, 1))]
+}
+
 // readDeadline returns the time until which a read that starts now waits for the server. A response that still arrives
 // may end after the call's time, but one that has stopped is not waited for.
 func (s *responseStream) readDeadline(now time.Time) time.Time {
@@ -160,7 +181,7 @@
 // finish ends the use of the connection. With reasonNone, after a complete response, it returns the connection to the
 // pool if that can be reused; otherwise it closes the connection for the reason.
 func (s *responseStream) finish(reason closeReason) {
-	extraBytes := s.hasBuffered()
+	extraBytes := s.end.extraBytes || s.hasBuffered()
 	s.reader.Reset(nil)
 	s.transport.readers.Put(s.reader)
 	switch {
--- a/internal/transport/upstream_response.go
+++ b/internal/transport/upstream_response.go
@@ -37,6 +37,8 @@
 	buf *pooledBuffer
 	// stream is the remainder of a long body; nil: body is complete.
 	stream *responseStream
+	// end is what follows a complete body.
+	end bodyEnd
 }
 
 // readResponse reads the final response to a request, with its body in a buffer of the pool. Of a body that is long, or
@@ -77,14 +79,15 @@
 	case r.length > protocol.MaxBufferedBody:
 		r.streamKnownLength(conn, reader)
 	case r.length > 0:
-		r.buf = buffers.tryGet(int(r.length))
+		r.buf = buffers.tryGet(int(r.length) + len(statusLinePattern))
 		if r.buf == nil { // the call has run, and its response needs less memory as a stream
 			r.streamKnownLength(conn, reader)
 			return nil
 		}
 		r.body = r.buf.bytes[:r.length]
-		_, err = io.ReadFull(reader, r.body)
+		r.end, err = readToEnd(reader, r.buf.bytes, int(r.length))
 	case r.length == 0:
+		r.end = bufferedEnd(reader)
 	case strings.EqualFold(r.firstValue("Connection"), "close"):
 		err = r.readUnknownLength(conn, reader, reader, buffers, deadline)
 	default: // the end of the connection would not prove that the body is complete
--- a/internal/transport/upstream_transport.go
+++ b/internal/transport/upstream_transport.go
@@ -174,7 +174,10 @@
 		streamed := &response{fields: r.endToEndFields(), body: r.body, stream: r.stream, buf: r.buf}
 		return routing.AttemptResult{Result: balancer.OK, Reply: streamed}
 	}
-	extraBytes := reader.Buffered() > 0
+	extraBytes := r.end.extraBytes || reader.Buffered() > 0
+	if err == nil && r.end.unproven && result == balancer.OK && attempt.Payload != nil { // a status proves a health check
+		err = errBodyExceedsLength
+	}
 	reader.Reset(nil)
 	t.readers.Put(reader)
 	switch {
