Send the last byte of a body in a shutdown only if its call can still be answered

Cause: Frontend.serveCall asked for admission at the head of a long request, while its time counts from its last byte, and nothing asked again (upload.go). The record rules out a lost answer: nothing was written, and attempts told servers 1.496 s with 0.62 s left. The kill was also taken for too late where the longest deadline is over 3 s, or was longer before a reload. Change: the last byte, or the last chunk, is sent only if the call's time ends 0.15 s before the earliest SIGKILL (a node may be held up for as long). Restart and upgrade share this; retries, hedges and queues end with the call's own time. Options: refuse all bodies at SIGTERM (most end in time); send with a shorter deadline (may run and fail). Lab: half of the long bodies are written slowly, half of the restarts killed at the earliest time.

--- a/internal/lab/fault/draw.go
+++ b/internal/lab/fault/draw.go
@@ -113,6 +113,7 @@
 	for i := range w.Classes {
 		if long, body := n.Long.draw(g), n.LongBody.draw(g); !w.Classes[i].Safe {
 			w.Classes[i].LongShare, w.Classes[i].LongBody = long, body
+			w.Classes[i].LongFor = n.LongFor.draw(d.stream("slow bodies of " + w.Classes[i].Name))
 		}
 	}
 }
--- a/internal/lab/fault/draw_test.go
+++ b/internal/lab/fault/draw_test.go
@@ -33,7 +33,7 @@
 // Verifies that the script of a seed does not change, since recorded failures refer to seeds. A deliberate change of
 // the draws must change this hash.
 func TestDrawGolden(t *testing.T) {
-	const want = "63eda84b7f72f0afe2c89c81fc796bde0fb1377152aab9b027af4a6c133053e0"
+	const want = "e861b151b80c7f5f4649a8871b0cc596c0a16a02822ed1941b6df1bdc239483b"
 	sc, sum := scenario(t), sha256.New()
 	for seed := range uint64(20) {
 		sum.Write(encoded(t, Draw(seed, sc)))
--- a/internal/lab/fault/drawfaults.go
+++ b/internal/lab/fault/drawfaults.go
@@ -12,6 +12,9 @@
 // maxKindDraws is the maximum number of kinds that are tried for one fault when the world cannot hold the drawn kind.
 const maxKindDraws = 40
 
+// earliestKillShare is the share of restarts in which nodes that drain are killed as soon as the platform allows.
+const earliestKillShare = 0.5
+
 // faults draws the faults of a run: a combination, single kinds, or both. Most of them are active at one common
 // instant.
 func (d *drawer) faults() {
@@ -62,6 +65,9 @@
 		Pause: r.Pause.draw(g), TurnAway: r.TurnAway.draw(g), Back: r.Back.draw(g)}
 	if k.Name == "node-restart" {
 		f.For = max(f.For, minRestartDuration(w))
+		if chance(d.stream(fmt.Sprintf("kill of fault %d", i)), earliestKillShare) {
+			f.For = minRestartDuration(w)
+		}
 	}
 	part := r.Part.draw(g)
 	if k.Name == "cut" && len(w.Zones) < 2 {
--- a/internal/lab/fault/limits.go
+++ b/internal/lab/fault/limits.go
@@ -48,6 +48,7 @@
 		"world.class.worth": {0, 1e6, false}, "world.class.body": {0, 64 << 10, false},
 		"world.class.answer": {0, 1 << 20, false},
 		"world.class.long":   share, "world.class.long_body": {0, 4 << 20, false},
+		"world.class.long_for": {0, 20, false},
 
 		"world.tenant.share": share, "world.tenant.quota": {0, 1e6, false},
 
--- a/internal/lab/fault/scenario.go
+++ b/internal/lab/fault/scenario.go
@@ -65,6 +65,7 @@
 	// Long is the share of POST requests with a long body in the runs of Buffered.
 	Long     Range  `toml:"long,omitempty" of:"world.class.long"`
 	LongBody Counts `toml:"long_body,omitempty" of:"world.class.long_body"`
+	LongFor  Spans  `toml:"long_for,omitempty" of:"world.class.long_for"`
 }
 
 // ContractRanges draws world.Contract. For a permission, it holds the share of runs in which it is granted.
--- a/internal/lab/world/client/message.go
+++ b/internal/lab/world/client/message.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -62,6 +63,9 @@
 		if long.Float64() < spec.LongShare {
 			size = min(figure.LogNormal(long, float64(spec.LongBody), 0.6), maxLongBodyBytes)
 			t.lingerFor = longLingerDuration
+			if spec.LongFor > 0 && long.Float64() < slowBodyShare {
+				t.writeFor = figure.Seconds(long.Float64() * spec.LongFor.D().Seconds())
+			}
 		}
 	}
 	body := requestBody(t.id, int(size))
@@ -77,7 +81,29 @@
 			unusualForms[draws.IntN(len(unusualForms))](h, draws)
 		}
 	}
-	return h.segments(draws)
+	return slowSegments(h.segments(draws), t.writeFor)
+}
+
+// slowBodyShare is the share of long bodies that their clients write slowly.
+const slowBodyShare = 0.5
+
+// slowSegmentCount is the number of segments in which a request is written slowly.
+const slowSegmentCount = 20
+
+// slowSegments splits a request into segments that are written within the given time; 0: it stays as it is.
+func slowSegments(request []segment, writeFor time.Duration) []segment {
+	if writeFor == 0 {
+		return request
+	}
+	var all []byte
+	for _, part := range request {
+		all = append(all, part.bytes...)
+	}
+	var slow []segment
+	for part := range slices.Chunk(all, len(all)/slowSegmentCount+1) {
+		slow = append(slow, segment{part, writeFor / slowSegmentCount})
+	}
+	return slow
 }
 
 // requestBody returns a body of n bytes that repeats the request's id.
--- a/internal/lab/world/client/request.go
+++ b/internal/lab/world/client/request.go
@@ -49,6 +49,7 @@
 	deadline   time.Duration // time at which the client gives up, not counting lingerFor
 	leaveAfter time.Duration // time after its last byte at which the client leaves; -1: it does not leave
 	lingerFor  time.Duration // time for which the client waits beyond the deadline
+	writeFor   time.Duration // time for which the client writes the request; 0: it writes it at once
 	fresh      bool          // uses a new connection, which is closed after it
 	pipelined  bool          // may share a connection with another attempt in flight
 	unusual    bool          // uses unusual but valid HTTP forms
@@ -116,6 +117,9 @@
 	}
 	t.sent = false
 	t.unsent = encodeAttempt(t, budget)
+	if t.writeFor > 0 {
+		t.deadlineTimer.Stop() // its time counts from the last byte
+	}
 	t.writeNext(budget)
 }
 
--- a/internal/lab/world/config.go
+++ b/internal/lab/world/config.go
@@ -72,6 +72,7 @@
 	ResponseBody int         `toml:"answer,omitempty"`    // mean size of a response body, in bytes
 	LongShare    float64     `toml:"long,omitempty"`      // share of POST requests with a long body
 	LongBody     int         `toml:"long_body,omitempty"` // mean size of a long POST body, in bytes
+	LongFor      figure.Span `toml:"long_for,omitempty"`  // longest time for which a client writes a long body
 }
 
 // Tenant is a customer of the platform.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -213,14 +213,14 @@
 // has no connection, goroutine or timer left. Abort interrupts it.
 func (n *Node) Drain() {
 	n.mu.Lock()
-	longest := n.longestDeadline
+	limits := transport.ShutdownLimits{MaxCallTime: n.longestDeadline, LongestDeadline: n.config.LongestDeadline}
 	n.mu.Unlock()
 	n.announceLeave()
 	if successor := n.processes.readySuccessor(); successor != nil {
 		n.log.Info("handing over")
-		n.frontend.HandOver(longest, connectionSender(successor))
+		n.frontend.HandOver(limits, connectionSender(successor))
 	} else {
-		n.frontend.Drain(longest)
+		n.frontend.Drain(limits)
 	}
 	n.stop()
 	n.running.Wait()
--- a/internal/transport/client_drain.go
+++ b/internal/transport/client_drain.go
@@ -69,6 +69,37 @@
 	return cs.handOff == nil && c.responseWritten.Load() && hasUnread(c.Conn)
 }
 
+// rejectIncomplete rejects the requests that have not arrived completely, except long ones that are being streamed, and
+// returns their number. Unread bytes may complete a request, which is read first.
+func (cs *clientConns) rejectIncomplete() int64 {
+	rejected := cs.decideIncomplete()
+	for _, c := range rejected {
+		c.log.setReason(reasonDrain)
+		c.writeRejection(rejection)
+		c.responseWritten.Store(true) // the response may need time to arrive: see linger
+		_ = c.SetReadDeadline(expiredDeadline)
+	}
+	return int64(len(rejected))
+}
+
+// decideIncomplete decides the close of the connections whose request rejectIncomplete rejects, and returns them.
+func (cs *clientConns) decideIncomplete() []*clientConn {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	var incomplete []*clientConn
+	for c := range cs.open {
+		if c.state.request != readingRequest || c.state.closing() || c.streaming || c.responseWritten.Load() ||
+			c.framing.complete(c.responseCount+1) || hasUnread(c.Conn) {
+			continue
+		}
+		c.state.decideClose(false)
+		c.moveTo(nil)
+		c.rejected.Store(true)
+		incomplete = append(incomplete, c)
+	}
+	return incomplete
+}
+
 // abort makes all reads and writes fail, also on connections that are accepted later. http.Server closes the
 // connections.
 func (cs *clientConns) abort() {
--- a/internal/transport/client_left_test.go
+++ b/internal/transport/client_left_test.go
@@ -161,9 +161,10 @@
 	const whole = callHead + "Content-Length: 0\r\n\r\n"
 	half := strings.Repeat("x", 100<<10)
 	sized := func(head string) string { return head + "Content-Length: 204800\r\n\r\n" + half }
+	const chunks = "Transfer-Encoding: chunked\r\n\r\n32000\r\n"
 	for name, c := range map[string]struct{ raw, sentLater, response, rest string }{
 		"call with a sized response": {whole, "", sized(""), half},
-		"chunked response":           {whole, "", "Transfer-Encoding: chunked\r\n\r\n32000\r\n" + half, half + "\r\n0\r\n\r\n"},
+		"chunked response":           {whole, "", chunks + half, half + "\r\n0\r\n\r\n"},
 		"pipelined request":          {whole, whole, sized(""), half},
 		"incomplete request body":    {sized(callHead), half[:100], sized(""), half},
 	} {
--- a/internal/transport/drain.go
+++ b/internal/transport/drain.go
@@ -20,15 +20,29 @@
 	drainMargin = 2 * time.Second
 	// drainStreamMargin is the additional waiting time for messages too long to be buffered.
 	drainStreamMargin = time.Minute
+	// maxKillDeadline limits the deadline for which the platform waits before it kills the process.
+	maxKillDeadline = 3 * time.Second
+	// killMargin is the time before the earliest kill by which each call that began after drainFullBudget is answered. It
+	// covers the time for which the process may be held up.
+	killMargin = 150 * time.Millisecond
+	// rejectInterval is the interval at which incomplete requests are rejected once they cannot be answered any more.
+	rejectInterval = 20 * time.Millisecond
 )
 
+// ShutdownLimits are the time limits of a graceful shutdown.
+type ShutdownLimits struct {
+	// MaxCallTime is the maximum duration of an open call.
+	MaxCallTime time.Duration
+	// LongestDeadline is the longest deadline of the current configuration. The platform kills the process that long after
+	// drainFullBudget at the earliest, or maxKillDeadline if that is shorter.
+	LongestDeadline time.Duration
+}
+
 // Drain shuts the frontend down gracefully. Because clients still connect for a while, the frontend first continues to
 // accept. Then it closes client connections as they become idle, stops accepting, and waits for open calls, each of
-// which may take maxCallTime. Drain blocks until the frontend has ended; Abort ends it early.
-func (f *Frontend) Drain(maxCallTime time.Duration) {
-	f.drain.beginShutdown(false)
-	f.drain.setCallTime(maxCallTime)
-	calls, streams, stop := f.shutdownContexts(maxCallTime)
+// which may take MaxCallTime. Drain blocks until the frontend has ended; Abort ends it early.
+func (f *Frontend) Drain(limits ShutdownLimits) {
+	calls, streams, stop := f.beginShutdown(limits, false)
 	defer stop()
 	sleep(calls, drainAcceptIdle)
 	f.clients.startDraining()
@@ -46,15 +60,31 @@
 	_ = f.server.Close()
 }
 
-// shutdownContexts returns the contexts that limit the waiting of a graceful shutdown: calls for calls, streams for
-// messages too long to be buffered. The caller must call stop.
-func (f *Frontend) shutdownContexts(maxCallTime time.Duration) (calls, streams context.Context, stop func()) {
+// rejectIncompleteRequests rejects, until ctx ends, the requests that are incomplete when no call can be answered any
+// more before the process may be killed. Their last bytes could arrive just before the kill. Long bodies are rejected
+// earlier, by their call's timeout: see upload.check.
+func (f *Frontend) rejectIncompleteRequests(ctx context.Context) {
+	sleep(ctx, time.Until(f.drain.lastAdmission()))
+	for ctx.Err() == nil {
+		f.shed.Add(f.clients.rejectIncomplete())
+		sleep(ctx, rejectInterval)
+	}
+}
+
+// beginShutdown begins a graceful shutdown, in which another process takes over the clients if handedOff is set. It
+// returns the contexts that limit the waiting: calls for calls, streams for messages too long to be buffered. The
+// caller must call stop.
+func (f *Frontend) beginShutdown(limits ShutdownLimits, handedOff bool) (calls, streams context.Context, stop func()) {
+	f.drain.beginShutdown(handedOff)
+	f.drain.setLimits(limits)
+	maxCallTime := limits.MaxCallTime
 	streams, stopStreams := context.WithTimeout(f.aborted, maxCallTime+drainMargin+drainStreamMargin)
 	calls, stopCalls := context.WithTimeout(streams, maxCallTime+drainMargin)
 	stop = func() {
 		stopCalls()
 		stopStreams()
 	}
+	go f.rejectIncompleteRequests(streams)
 	return calls, streams, stop
 }
 
@@ -130,10 +160,10 @@
 	// pauseTimer starts the closing of connections in a pause; nil if no start is pending.
 	pauseTimer *time.Timer
 
-	// maxCallTime is the maximum duration of a call during the shutdown.
-	maxCallTime time.Duration
-	// fullBudgetUntil is the time until which a call may begin and still take maxCallTime; zero if there is no shutdown.
+	// fullBudgetUntil is the time until which a call may begin whatever its budget; zero if there is no shutdown.
 	fullBudgetUntil time.Time
+	// answerBy is the time by which a call that begins later must have its answer.
+	answerBy time.Time
 }
 
 // rejectsClients reports whether the node is not ready for clients. It stays ready during a shutdown in which another
@@ -169,20 +199,28 @@
 	}
 }
 
-// setCallTime sets the maximum duration of calls that begin within drainFullBudget. For each later call it is reduced
-// by the time since then.
-func (d *drainState) setCallTime(maxCallTime time.Duration) {
+// setLimits sets the time limits of a shutdown that begins now.
+func (d *drainState) setLimits(limits ShutdownLimits) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.maxCallTime = maxCallTime
 	d.fullBudgetUntil = time.Now().Add(drainFullBudget)
+	d.answerBy = d.fullBudgetUntil.Add(min(limits.LongestDeadline, maxKillDeadline) - killMargin)
 }
 
-// admits reports whether a call with this budget may begin. During a shutdown it may not if too little time is left to
-// answer it within its budget, which happens to pipelined calls that wait for their turn.
-func (d *drainState) admits(budget time.Duration) bool {
+// admits reports whether a call may be sent whose budget counts from the given time, at which its last byte arrived or
+// which is now. During a shutdown it may not if the process may be killed before the end of the budget.
+func (d *drainState) admits(startedAt time.Time, budget time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	late := time.Since(d.fullBudgetUntil)
-	return d.fullBudgetUntil.IsZero() || late <= 0 || budget <= d.maxCallTime-late
+	return d.fullBudgetUntil.IsZero() || !startedAt.After(d.fullBudgetUntil) || !startedAt.Add(budget).After(d.answerBy)
+}
+
+// lastAdmission returns the time after which no call is admitted.
+func (d *drainState) lastAdmission() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.answerBy.Before(d.fullBudgetUntil) {
+		return d.fullBudgetUntil
+	}
+	return d.answerBy
 }
--- a/internal/transport/drain_test.go
+++ b/internal/transport/drain_test.go
@@ -28,7 +28,7 @@
 	addr, front, c, release := newFrontendWithOpenCall(t, 10)
 	drained := make(chan bool)
 	go func() {
-		front.Drain(time.Minute)
+		front.Drain(shutdownLimits(time.Minute))
 		close(drained)
 	}()
 	for conn, err := net.Dial("tcp", addr); err == nil; conn, err = net.Dial("tcp", addr) {
@@ -62,7 +62,7 @@
 	})
 	drained, calls := make(chan bool), 50*time.Millisecond
 	go func() {
-		front.Drain(calls - drainMargin)
+		front.Drain(shutdownLimits(calls - drainMargin))
 		close(drained)
 	}()
 	select {
--- a/internal/transport/frontend.go
+++ b/internal/transport/frontend.go
@@ -215,7 +215,7 @@
 	}
 	// Rejecting the call saves descriptors: it needs no attempt and makes room for the next call. During a shutdown, a
 	// call that began too late would be cut off.
-	if f.clients.overloaded() || !f.drain.admits(call.Timeout) {
+	if f.clients.overloaded() || !f.drain.admits(time.Now(), call.Timeout) {
 		f.shed.Add(1)
 		closeAfterResponse(w, c)
 		f.writeAnswer(w, c, routing.Answer{Verdict: routing.Rejected, RetryAfter: shedRetryAfter})
--- a/internal/transport/frontend_helpers_test.go
+++ b/internal/transport/frontend_helpers_test.go
@@ -84,6 +84,11 @@
 	return addr, front, transport, log, results
 }
 
+// shutdownLimits returns the limits of a shutdown whose calls take at most maxCallTime.
+func shutdownLimits(maxCallTime time.Duration) ShutdownLimits {
+	return ShutdownLimits{MaxCallTime: maxCallTime, LongestDeadline: maxCallTime}
+}
+
 // newFrontendWithOpenCall returns a frontend with one open call, which ends when release is closed.
 func newFrontendWithOpenCall(t *testing.T, maxConns int) (addr string, front *Frontend, c *testClient,
 	release chan bool) {
--- a/internal/transport/frontend_test.go
+++ b/internal/transport/frontend_test.go
@@ -135,7 +135,7 @@
 	}
 	log := make(logLines, 100)
 	front.log = log.logger()
-	go front.Drain(100*time.Millisecond - drainMargin)
+	go front.Drain(shutdownLimits(100*time.Millisecond - drainMargin))
 	log.waitFor("client connections were open at the end", "left=")
 	if _, err := http.ReadResponse(c.in, nil); err == nil {
 		t.Error("a call that was cut off got a response")
--- a/internal/transport/handover.go
+++ b/internal/transport/handover.go
@@ -4,17 +4,14 @@
 	"net"
 	"sync"
 	"syscall"
-	"time"
 )
 
 // HandOver shuts the frontend down while another process of the node takes over its clients on the same listener. The
 // frontend accepts no further connections, passes each connection on which no byte of a request was read to handOff,
 // and closes the others with their response, so no connection of a client is refused, reset or left unread. A
-// connection for which handOff fails is closed as in any graceful shutdown. Each open call may take maxCallTime.
-func (f *Frontend) HandOver(maxCallTime time.Duration, handOff func(syscall.Conn) error) {
-	f.drain.beginShutdown(true)
-	f.drain.setCallTime(maxCallTime)
-	calls, streams, stop := f.shutdownContexts(maxCallTime)
+// connection for which handOff fails is closed as in any graceful shutdown. Each open call may take MaxCallTime.
+func (f *Frontend) HandOver(limits ShutdownLimits, handOff func(syscall.Conn) error) {
+	calls, streams, stop := f.beginShutdown(limits, true)
 	defer stop()
 	_ = f.clients.Close()
 	select {
--- a/internal/transport/linger_test.go
+++ b/internal/transport/linger_test.go
@@ -155,7 +155,7 @@
 				waitFor(t, front.hasLingering)
 				limit := lingerTimeout
 				if drain {
-					front.Drain(time.Second)
+					front.Drain(shutdownLimits(time.Second))
 					limit = drainStopAccept + lingerDrainTimeout
 				}
 				<-ended
--- a/internal/transport/pipelined_test.go
+++ b/internal/transport/pipelined_test.go
@@ -88,7 +88,7 @@
 	} {
 		for way, act := range map[string]func(*Frontend){
 			"starts draining":  func(f *Frontend) { f.clients.startDraining() },
-			"shuts down":       func(f *Frontend) { go f.Drain(time.Minute) },
+			"shuts down":       func(f *Frontend) { go f.Drain(shutdownLimits(time.Minute)) },
 			"lowers the limit": func(f *Frontend) { f.SetClientLimits(ClientLimits{MaxOpen: 1}) },
 		} {
 			if way != "starts draining" && (c.later != "" || name == "after a body") {
@@ -215,10 +215,10 @@
 		numberedRequest(1, 0)+numberedRequest(2, 0)+numberedRequest(3, 0))
 	ended := make(chan bool)
 	go func() {
-		front.Drain(0)
+		front.Drain(shutdownLimits(0))
 		close(ended)
 	}()
-	waitFor(t, func() bool { return !front.drain.admits(time.Millisecond) })
+	waitFor(t, func() bool { return !front.drain.admits(time.Now(), time.Millisecond) })
 	release <- true // only once
 	for n, want := range []int{200, 503, 503} {
 		resp, err := http.ReadResponse(conn.in, nil)
--- a/internal/transport/response_end.go
+++ b/internal/transport/response_end.go
@@ -17,8 +17,8 @@
 		return false
 	}
 	for i, want := range []byte(statusLinePattern) {
-		digit := b[i] >= '0' && b[i] <= '9'
-		if b[i] != want && !(want == '0' && digit) {
+		anyDigit := want == '0' && b[i] >= '0' && b[i] <= '9'
+		if b[i] != want && !anyDigit {
 			return false
 		}
 	}
@@ -39,6 +39,14 @@
 	return bodyEnd{extraBytes: len(extra) > 0, unproven: len(extra) > 0 && !startsResponse(extra)}
 }
 
+// check returns an error unless the body is proven to be whole, or nothing follows it.
+func (e bodyEnd) check() error {
+	if e.unproven {
+		return errBodyExceedsLength
+	}
+	return nil
+}
+
 // bufferedEnd returns the end of a body after which the bytes that reader holds follow.
 func bufferedEnd(reader *bufio.Reader) bodyEnd {
 	extra, _ := reader.Peek(min(reader.Buffered(), len(statusLinePattern)))
--- a/internal/transport/response_end_test.go
+++ b/internal/transport/response_end_test.go
@@ -18,6 +18,7 @@
 		return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)-missing) + "\r\n\r\n" + body
 	}
 	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+	asksClose := strings.Replace(sized(6, "answer"), "\r\n", "\r\nConnection: close\r\n", 1)
 	long := strings.Repeat("x", 20<<10) // does not fit the buffer of a reader
 	for name, c := range map[string]struct {
 		raw  string
@@ -35,7 +36,7 @@
 		"long, second response":       {sized(0, long) + sized(0, long), balancer.OK},
 		"empty, second response":      {sized(0, "") + okResponse, balancer.OK},
 		"chunked, noise behind":       {chunked + noise, balancer.OK},
-		"close asked, longer":         {strings.Replace(sized(6, "answer"), "\r\n", "\r\nConnection: close\r\n", 1), balancer.Errored},
+		"close asked, longer":         {asksClose, balancer.Errored},
 		"rejection with noise behind": {rejected + noise, balancer.Rejected},
 	} {
 		server, _ := startScriptedServer(t, c.raw, okResponse)
--- a/internal/transport/response_stream.go
+++ b/internal/transport/response_stream.go
@@ -83,8 +83,8 @@
 		s.end = newBodyEnd(b[s.remaining:n])
 		n = int(s.remaining)
 	}
-	if s.end.unproven { // without its last bytes, the client can tell that the response is incomplete
-		return 0, errBodyExceedsLength
+	if err := s.end.check(); err != nil { // without its last bytes, the client can tell that the response is incomplete
+		return 0, err
 	}
 	s.remaining -= int64(n)
 	if err == io.EOF && s.length >= 0 && s.remaining > 0 {
--- a/internal/transport/upload.go
+++ b/internal/transport/upload.go
@@ -35,12 +35,17 @@
 	firstPart  []byte // bytes that were read before the upload started
 	length     int64  // of the whole body; -1: unknown, and the body is sent in chunks
 	serverPace transferPace
+	drain      *drainState // of the frontend
 
 	mu sync.Mutex
 	// claimed is true once an attempt reads the body.
 	claimed bool
 	// closed is true once no attempt may claim the body any more.
 	closed bool
+	// completing is true once the last byte is being sent, refused once it may not be sent any more, because the process
+	// may be killed before the answer. One excludes the other.
+	completing bool
+	refused    bool
 	// server is the connection to which the body is sent; nil until an attempt claims the body.
 	server *upstreamConn
 	// ahead contains the parts that were read ahead, in the order of the body.
@@ -82,6 +87,7 @@
 		body:          r.Body,
 		firstPart:     first,
 		length:        r.length,
+		drain:         &f.drain,
 		done:          make(chan struct{}),
 		uploadReading: newUploadReading(r, int64(len(first)), &f.readAhead, &f.buffers),
 	}
@@ -92,7 +98,7 @@
 func (u *upload) claim(conn *upstreamConn) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.claimed || u.closed {
+	if u.claimed || u.closed || u.refused {
 		return false
 	}
 	u.claimed = true
@@ -129,6 +135,10 @@
 	var err error
 	for {
 		last := errors.Is(err, io.EOF)
+		if u.completes(part, last) && !u.beginCompleting() {
+			u.releasePart(part)
+			return
+		}
 		writeErr := u.writePart(conn, out, part.bytes, last)
 		u.releasePart(part)
 		switch {
@@ -147,6 +157,57 @@
 	}
 }
 
+// completes reports whether a part contains the last byte of the message that the server waits for.
+func (u *upload) completes(part bodyPart, last bool) bool {
+	if u.length < 0 {
+		return last // the end of the chunks
+	}
+	sent := u.sent.Load()
+	return sent < u.length && sent+int64(len(part.bytes)) >= u.length
+}
+
+// admitted reports whether the call could be answered if its last byte were sent now. The frontend has admitted the
+// call at its head, but its time counts from its last byte.
+func (u *upload) admitted() bool {
+	startedAt := time.Now()
+	if received := u.receivedAt.Load(); received != nil {
+		startedAt = *received
+	}
+	return u.drain.admits(startedAt, u.timeout)
+}
+
+// beginCompleting reports whether the last byte may be sent. If not, it ends the call.
+func (u *upload) beginCompleting() bool {
+	u.refuseIfLate()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.completing = !u.refused
+	return u.completing
+}
+
+// refuseIfLate ends the call if its last byte has not been sent and it could not be answered any more, and reports
+// whether the call has been ended. The missing byte proves that no server has run it.
+func (u *upload) refuseIfLate() (refused bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.refused || u.completing || u.admitted() {
+		return u.refused
+	}
+	u.refused = true
+	if u.server != nil {
+		u.server.log.setReason(reasonNotSent)
+		u.server.Interrupt()
+	}
+	return true
+}
+
+// wasRefused reports whether refuseIfLate has ended the call.
+func (u *upload) wasRefused() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.refused
+}
+
 // finishSending starts the timeout of the response after the last byte of the body has been written. The timeout counts
 // from the last byte of the client, which may have arrived long before.
 func (u *upload) finishSending(ctx context.Context, conn *upstreamConn, attempt routing.Attempt) {
@@ -224,7 +285,7 @@
 // server never ran the call.
 func (u *upload) unsentResult(ctx context.Context) balancer.Result {
 	serverLate := errors.Is(context.Cause(ctx), routing.ErrDeadlineExceeded) && u.serverStalled.Load()
-	if ctx.Err() != nil && !serverLate || u.failedByClient() {
+	if u.wasRefused() || ctx.Err() != nil && !serverLate || u.failedByClient() {
 		return balancer.NotSent
 	}
 	return balancer.ConnectFailed
--- a/internal/transport/upload_read.go
+++ b/internal/transport/upload_read.go
@@ -40,7 +40,7 @@
 	// logged reports whether the log has a line about this body.
 	logged bool
 
-	// The fields of the checks, set by watch. Only checkTimer changes, under upload.mu.
+	// The fields of the checks and of the admission, set by watch. Only checkTimer changes, under upload.mu.
 
 	timeout    time.Duration // of the call, from its last byte
 	leave      func()        // ends the call of a client that has left
--- a/internal/transport/upstream_transport.go
+++ b/internal/transport/upstream_transport.go
@@ -174,12 +174,12 @@
 		streamed := &response{fields: r.endToEndFields(), body: r.body, stream: r.stream, buf: r.buf}
 		return routing.AttemptResult{Result: balancer.OK, Reply: streamed}
 	}
-	extraBytes := r.end.extraBytes || reader.Buffered() > 0
-	if err == nil && r.end.unproven && result == balancer.OK && attempt.Payload != nil { // a status proves a health check
-		err = errBodyExceedsLength
-	}
+	r.end.extraBytes = r.end.extraBytes || reader.Buffered() > 0
 	reader.Reset(nil)
 	t.readers.Put(reader)
+	if err == nil && result == balancer.OK && attempt.Payload != nil { // of a health check, the status is proof enough
+		err = r.end.check()
+	}
 	switch {
 	case err != nil:
 		r.freeBuffer()
@@ -189,9 +189,22 @@
 		r.freeBuffer()
 		conn.closeFor(reasonCancelled)
 		return routing.AttemptResult{Result: balancer.Cancelled}
+	}
+	t.endExchange(conn, &r, notCancelled)
+	p := &response{fields: r.endToEndFields(), body: r.body, buf: r.buf}
+	if result != balancer.OK {
+		p.freeBuffer()
+		return routing.AttemptResult{Result: result}
+	}
+	return routing.AttemptResult{Result: balancer.OK, Reply: p}
+}
+
+// endExchange closes a connection after a response, or returns it to the pool if it can be used again.
+func (t *UpstreamTransport) endExchange(conn *upstreamConn, r *upstreamResponse, notCancelled bool) {
+	switch {
 	case r.stream != nil: // the rest of a failed response is not read
 		conn.closeFor(reasonOversize)
-	case extraBytes: // these bytes could be taken for the response to the next call
+	case r.end.extraBytes: // these bytes could be taken for the response to the next call
 		conn.closeFor(reasonExtraBytes)
 	case r.closeAfter:
 		conn.closeFor(reasonServerAsked)
@@ -200,12 +213,6 @@
 	default:
 		t.putConn(conn)
 	}
-	p := &response{fields: r.endToEndFields(), body: r.body, buf: r.buf}
-	if result != balancer.OK {
-		p.freeBuffer()
-		return routing.AttemptResult{Result: result}
-	}
-	return routing.AttemptResult{Result: balancer.OK, Reply: p}
 }
 
 // putConn returns a connection to the pool after a complete response. It closes the connection if the request body is
