Keep the ids of ended calls in blocks, whose cost does not depend on their number

Change: idQueue has blocks of 64 ids and buckets that double. An id costs 72 bytes, under the 128 that it is charged.

--- a/internal/routing/admit_test.go
+++ b/internal/routing/admit_test.go
@@ -99,7 +99,7 @@
 	if !ended.hasRoom(later) || ended.contains("a", later) || !ended.contains("b", later) {
 		t.Error("the oldest id, and only that, must make room")
 	}
-	if ended.add("z", now.Add(endedCallRetention)); ended.contains("b", later) || len(ended.queue) != 1 {
-		t.Errorf("%d ids are remembered after the retention, want 1", len(ended.queue))
+	if ended.add("z", now.Add(endedCallRetention)); ended.contains("b", later) || ended.queue.count != 1 {
+		t.Errorf("%d ids are remembered after the retention, want 1", ended.queue.count)
 	}
 }
--- a/internal/routing/ended_calls.go
+++ b/internal/routing/ended_calls.go
@@ -7,7 +7,7 @@
 	endedCallRetention = time.Minute
 	// minEndedCallRetention is the part of endedCallRetention that applies even if there is no room for newer ids.
 	minEndedCallRetention = 10 * time.Second
-	// endedCallOverhead is the memory for one id beside its own bytes: entries of the map and of the queue.
+	// endedCallOverhead is the memory for one id beside its own bytes: its entry and its bucket.
 	endedCallOverhead = 128
 	// DefaultEndedCallBytes is Config.MaxEndedCallBytes if that is 0.
 	DefaultEndedCallBytes = 1 << 20
@@ -16,9 +16,8 @@
 // endedCalls remembers the ids of calls that have ended, may have run and must not run twice: a call with such an id is
 // a duplicate. Its memory is bounded, so it can be full. It belongs to the event loop.
 type endedCalls struct {
-	ids      map[string]struct{} // client request ids
-	queue    []endedCall         // in the order of their ends, which is that of their expiry
-	bytes    int64               // memory in use
+	queue    idQueue // in the order of their ends, which is that of their expiry
+	bytes    int64   // memory in use
 	maxBytes int64
 }
 
@@ -34,31 +33,29 @@
 }
 
 func newEndedCalls(maxBytes int64) endedCalls {
-	return endedCalls{ids: map[string]struct{}{}, maxBytes: maxBytes}
+	return endedCalls{queue: newIDQueue(), maxBytes: maxBytes}
 }
 
 // contains reports whether a call with this id has ended and is remembered.
 func (e *endedCalls) contains(clientRequestID string, now time.Time) bool {
 	e.removeExpired(now)
-	_, known := e.ids[clientRequestID]
-	return known
+	return e.queue.contains(clientRequestID)
 }
 
 // add remembers a call that ends now.
 func (e *endedCalls) add(clientRequestID string, now time.Time) {
 	e.removeExpired(now)
-	if _, known := e.ids[clientRequestID]; known {
+	if e.queue.contains(clientRequestID) {
 		return
 	}
-	e.ids[clientRequestID] = struct{}{}
-	e.queue = append(e.queue, endedCall{clientRequestID, now})
+	e.queue.push(endedCall{clientRequestID, now})
 	e.bytes += endedCallSize(clientRequestID)
 }
 
 // addReported remembers a call that has ended in another process. It may forget the oldest call for that, since the
 // other process has more memory while it runs alone.
 func (e *endedCalls) addReported(clientRequestID string, now time.Time) {
-	if e.bytes >= e.maxBytes && len(e.queue) > 0 {
+	if e.bytes >= e.maxBytes && e.queue.count > 0 {
 		e.removeOldest()
 	}
 	e.add(clientRequestID, now)
@@ -69,7 +66,8 @@
 func (e *endedCalls) hasRoom(now time.Time) bool {
 	e.removeExpired(now)
 	for e.bytes >= e.maxBytes {
-		if len(e.queue) == 0 || now.Sub(e.queue[0].endedAt) < minEndedCallRetention {
+		endedAt, ok := e.queue.oldestEndedAt()
+		if !ok || now.Sub(endedAt) < minEndedCallRetention {
 			return false
 		}
 		e.removeOldest()
@@ -79,25 +77,26 @@
 
 // removeExpired forgets the calls whose retention is over.
 func (e *endedCalls) removeExpired(now time.Time) {
-	for len(e.queue) > 0 && now.Sub(e.queue[0].endedAt) >= endedCallRetention {
+	for {
+		endedAt, ok := e.queue.oldestEndedAt()
+		if !ok || now.Sub(endedAt) < endedCallRetention {
+			return
+		}
 		e.removeOldest()
 	}
 }
 
 // removeOldest forgets the call that ended first.
 func (e *endedCalls) removeOldest() {
-	oldest := e.queue[0]
-	e.queue[0] = endedCall{}
-	e.queue = e.queue[1:]
-	delete(e.ids, oldest.clientRequestID)
+	oldest := e.queue.pop()
 	e.bytes -= endedCallSize(oldest.clientRequestID)
 }
 
 // openCalls returns the remembered calls as they are reported to other processes, in the order of their ends.
 func (e *endedCalls) openCalls(now time.Time) []OpenCall {
 	e.removeExpired(now)
-	calls := make([]OpenCall, 0, len(e.queue))
-	for _, call := range e.queue {
+	calls := make([]OpenCall, 0, e.queue.count)
+	for call := range e.queue.all {
 		calls = append(calls, call.openCall())
 	}
 	return calls
