Answer a request that is longer than its length with 400 before it is sent to its end

Cause: nothing looked at what had been read behind a body. requestFraming knows it: these bytes count as the next request. Change: the framing checks the method of a request that follows. All that the node takes are in upper case, so other bytes are the end of the body before: 400, close, and the last bytes of a streamed body are not sent. A request in chunks ends by itself, and an empty line or the beginning of a method behind a body may belong to a further request: served as before. Options: wait for the rest of the method (delays pipelined clients), refuse every request with bytes behind it (breaks pipelining).

--- a/cmd/olivebridge/late_body_test.go
+++ b/cmd/olivebridge/late_body_test.go
@@ -42,7 +42,8 @@
 	if b.chunked {
 		framing, first, last = "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%sx\r\n", b.size, first), "0\r\n\r\n"
 	}
-	if _, err := io.WriteString(conn, "POST /api HTTP/1.1\r\nHost: h\r\n"+framing+"\r\n"+header.String()+"\r\n"+first); err != nil {
+	head := "POST /api HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n" + header.String() + "\r\n"
+	if _, err := io.WriteString(conn, head+first); err != nil {
 		return result
 	}
 	time.Sleep(time.Until(begun.Add(b.endsAt)))
@@ -63,9 +64,10 @@
 		killAfter = 2200 * time.Millisecond // the longest deadline and 0.7 s
 	)
 	var bodies []lateBody
-	for _, endsAt := range []time.Duration{300, 650, 900, 1300, 1600, 2000, 2150, 2190} {
+	for _, milliseconds := range []time.Duration{300, 650, 900, 1300, 1600, 2000, 2150, 2190} {
 		for _, size := range []int{100, 20 << 10, 100 << 10, 300 << 10} {
-			bodies = append(bodies, lateBody{size, false, endsAt * time.Millisecond}, lateBody{size, true, endsAt * time.Millisecond})
+			endsAt := milliseconds * time.Millisecond
+			bodies = append(bodies, lateBody{size, false, endsAt}, lateBody{size, true, endsAt})
 		}
 	}
 	for name, upgrade := range map[string]bool{"restart": false, "upgrade": true} {
--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -176,6 +176,13 @@
 	return c.framing.isAmbiguous(c.responseCount + 1)
 }
 
+// requestExceedsLength reports whether bytes behind the current request show that its announced length is too small.
+func (c *clientConn) requestExceedsLength() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.framing.exceedsLength(c.responseCount + 1)
+}
+
 // mustCloseAfterRequest reports whether the framing of the current request's body requires closing the connection after
 // the response.
 func (c *clientConn) mustCloseAfterRequest() bool {
--- a/internal/transport/helpers_test.go
+++ b/internal/transport/helpers_test.go
@@ -82,7 +82,9 @@
 			if err != nil {
 				return
 			}
-			io.Copy(io.Discard, r.Body)
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
 			requests <- raw.String()
 			raw.Reset()
 			response := <-next
--- a/internal/transport/request.go
+++ b/internal/transport/request.go
@@ -18,6 +18,9 @@
 // ambiguousRequestError is an error in a request whose end other implementations may find elsewhere than the node does.
 type ambiguousRequestError struct{ error }
 
+// errExceedsLength reports a request behind which bytes follow that are no request but the end of its body.
+var errExceedsLength = ambiguousRequest("body: longer than its length")
+
 // ambiguousRequest returns an ambiguousRequestError with a message.
 func ambiguousRequest(message string) error { return ambiguousRequestError{errors.New(message)} }
 
@@ -40,10 +43,10 @@
 		return call, http.StatusRequestEntityTooLarge, errors.New("body: too large")
 	case err != nil:
 		return call, http.StatusBadRequest, fmt.Errorf("body: %w", err)
-	case (len(m.body) > 0 || m.upload != nil) && r.Method == http.MethodGet:
+	}
+	if err := checkBody(r, m, c); err != nil {
 		m.release()
-		// Protects the servers: a server that reads no body after a GET takes the body for a request.
-		return call, http.StatusBadRequest, ambiguousRequest("body: none belongs to a GET")
+		return call, http.StatusBadRequest, err
 	}
 	call.ReceivedAt = c.receivedAt(time.Now())
 	if m.upload != nil {
@@ -62,6 +65,18 @@
 	return call, 0, nil
 }
 
+// checkBody returns an error if the body of a request is not acceptable, as far as it has been read.
+func checkBody(r *http.Request, m *requestMessage, c *clientConn) error {
+	switch {
+	case (len(m.body) > 0 || m.upload != nil) && r.Method == http.MethodGet:
+		// Protects the servers: a server that reads no body after a GET takes the body for a request.
+		return ambiguousRequest("body: none belongs to a GET")
+	case m.upload == nil && r.ContentLength >= 0 && c.requestExceedsLength():
+		return errExceedsLength
+	}
+	return nil
+}
+
 // checkHead returns an error, and the status to answer, if the head of a request is not acceptable.
 func checkHead(r *http.Request, c *clientConn, target string) (status int, err error) {
 	if !r.ProtoAtLeast(1, 1) { // net/http ignores Transfer-Encoding in such requests
--- a/internal/transport/request_framing.go
+++ b/internal/transport/request_framing.go
@@ -31,6 +31,12 @@
 	// servers parse as a different head; 0 if there is none.
 	firstBareLF int
 
+	// inMethod reports whether the method of the last request is being parsed.
+	inMethod bool
+	// firstInvalid is the number of the first request whose method is not in upper case, as all known methods are; 0 if
+	// there is none. Behind a body these bytes are its end rather than a request.
+	firstInvalid int
+
 	// headBytes is the number of bytes of the last head so far, headLines the number of its lines that have ended.
 	headBytes int
 	headLines int
@@ -79,6 +85,10 @@
 // and no later request has started.
 func (f *requestFraming) isLast(n int) bool { return f.startedCount <= n && (f.stopped || f.chunked) }
 
+// exceedsLength reports whether the bytes behind the nth request cannot be a request: the announced length of its body
+// is too small.
+func (f *requestFraming) exceedsLength(n int) bool { return f.firstInvalid == n+1 }
+
 // bytesNeeded returns the number of bytes, at most limit, that can be read for the request that has started without
 // reading a byte of a later one. It returns limit if parsing has stopped or no request is incomplete.
 func (f *requestFraming) bytesNeeded(limit int) int {
@@ -133,11 +143,13 @@
 func (f *requestFraming) feedHeadByte(c byte) {
 	if !f.inHead && c != '\r' && c != '\n' { // empty lines before a request are not part of it
 		f.inHead = true
+		f.inMethod = true
 		f.startedCount++
 		f.headBytes = 0
 		f.headLines = 0
 	}
 	f.headBytes++
+	f.checkMethod(c)
 	if f.firstBareLF == 0 && c == '\n' && !f.afterCR {
 		f.firstBareLF = max(f.startedCount, 1)
 	}
@@ -154,6 +166,17 @@
 	}
 }
 
+// checkMethod checks a byte of a method.
+func (f *requestFraming) checkMethod(c byte) {
+	switch {
+	case !f.inMethod:
+	case c == ' ':
+		f.inMethod = false
+	case (c < 'A' || c > 'Z') && f.firstInvalid == 0:
+		f.firstInvalid = f.startedCount
+	}
+}
+
 // feedLengthByte parses a byte of the value of a Content-Length.
 func (f *requestFraming) feedLengthByte(c byte) {
 	if c >= '0' && c <= '9' && len(f.digits) < maxLengthDigits {
--- a/internal/transport/upload_read.go
+++ b/internal/transport/upload_read.go
@@ -145,6 +145,10 @@
 	if u.clientPace.bytes > maxRequestBody {
 		err = errBodyTooLarge
 	}
+	if errors.Is(err, io.EOF) && u.pressure.length >= 0 && u.conn.requestExceedsLength() {
+		n = 0 // without its last bytes, the server does not run the request
+		err = errExceedsLength
+	}
 	if err != nil {
 		u.endReading(err)
 	}
--- a/internal/transport/upload_watch.go
+++ b/internal/transport/upload_watch.go
@@ -48,7 +48,8 @@
 }
 
 // check determines whether the last byte of the body may have been written, and reads ahead if the call's time would be
-// over then. It ends a call that cannot be answered any more before the process may be killed. The next check does not wait for the end of this one, in which the client may be waited for.
+// over then. It ends a call that cannot be answered any more before the process may be killed. The next check does not
+// wait for the end of this one, in which the client may be waited for.
 func (u *upload) check() {
 	defer u.recoverReadPanic()
 	if !u.checkHeldBack() {
