Pass on each part of an answer, and cut none of unknown length that only pauses

Cause: one byte in the reader was taken for a byte of the body. Behind the data of a chunk that may be its line end, half a size or an extension; the read that followed waited for the next chunk and held the answer's head back until the end of the call, so that hedges and retries began beside a server that answered, and sound servers were ejected. And up to 64 KiB so far of an unknown length counted as a short answer, which is cut 0.4 s after its time. Change: a chunked body parses the lines that have arrived and tells if a read would wait; a read that expires in a line can be repeated. The first part ends by that, 20 ms after the head and 2 ms before the attempt's end at the latest, and each later part is flushed by it. A line that cannot be a chunk's is an error at its first byte, so that such an attempt is still retried. A server of an answer without a length may pause for 1.9 s, however little has come. Cutting saves no answer and loses sound ones; the price is that a client waits up to 1.9 s, not 0.4 s, for a server that has stopped. Not chosen: holding the head back until the time is over, which loses the long ones' time.

--- a/internal/transport/client_response.go
+++ b/internal/transport/client_response.go
@@ -141,7 +141,7 @@
 		if _, err := w.Write(part); err != nil {
 			return reasonCancelled
 		}
-		if !p.stream.hasBuffered() {
+		if !p.stream.ready() {
 			flush()
 		}
 		p.freeBuffer() // the first part has been written
--- a/internal/transport/response_stream.go
+++ b/internal/transport/response_stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"os"
@@ -19,10 +18,6 @@
 	// whether the client is still connected, and the interval between two checks. A failed write would also show that the
 	// client has left, but there is nothing to write.
 	clientCheckInterval = 50 * time.Millisecond
-	// firstPartWait is the duration for which the first part of a response of unknown length waits for the rest. Most
-	// responses are complete within it, and an attempt whose malformed response is found before anything was sent to the
-	// client can be retried.
-	firstPartWait = 20 * time.Millisecond
 	// lateAnswerGrace is the time after the end of a call at which a response whose server sends nothing is given up. An
 	// answer that ends half a second late, or is cut by then, does not count as lost.
 	lateAnswerGrace = 400 * time.Millisecond
@@ -39,13 +34,11 @@
 	transport *UpstreamTransport
 	conn      *upstreamConn
 	reader    *bufio.Reader
-	body      io.Reader
+	body      responseBody
 	// length is the length of the whole body; -1: unknown.
 	length int64
 	// remaining is the number of bytes still to be read. For a body of unknown length it is the number still allowed.
 	remaining int64
-	// firstPart is the number of bytes that were read before the stream started.
-	firstPart int64
 	// deadline is the end of the call's time; zero: not known.
 	deadline time.Time
 	// closeAfter is true if the connection closes after the response.
@@ -87,10 +80,10 @@
 		return 0, err
 	}
 	s.remaining -= int64(n)
-	if err == io.EOF && s.length >= 0 && s.remaining > 0 {
+	if errors.Is(err, io.EOF) && s.length >= 0 && s.remaining > 0 {
 		err = io.ErrUnexpectedEOF
 	}
-	if n > 0 && err == io.EOF {
+	if n > 0 && errors.Is(err, io.EOF) {
 		err = nil // the next read returns io.EOF
 	}
 	return n, err
@@ -118,7 +111,7 @@
 	if !now.Before(s.deadline) {
 		callDeadline = now.Add(lateAnswerStall)
 	}
-	if pauseEnd := now.Add(longAnswerPause); s.isLong() && callDeadline.Before(pauseEnd) {
+	if pauseEnd := now.Add(longAnswerPause); s.mayBeLong() && callDeadline.Before(pauseEnd) {
 		callDeadline = pauseEnd
 	}
 	if s.deadline.IsZero() || paceDeadline.Before(callDeadline) {
@@ -127,10 +120,10 @@
 	return callDeadline
 }
 
-// isLong reports whether the response is known to be too long to be buffered.
-func (s *responseStream) isLong() bool {
-	return s.length > protocol.MaxBufferedBody || s.firstPart+s.bytes > protocol.MaxBufferedBody
-}
+// mayBeLong reports whether the response is too long to be buffered, as far as its head tells. What has arrived of a
+// response of unknown length does not tell how long it is: cutting a long one costs the client the whole answer, and
+// passing a short one on late costs it the time that it waits anyway.
+func (s *responseStream) mayBeLong() bool { return s.length < 0 || s.length > protocol.MaxBufferedBody }
 
 // setWaiting records the start or the end of a read. The client is checked while a read waits.
 func (s *responseStream) setWaiting(waiting bool) {
@@ -164,8 +157,8 @@
 	}
 }
 
-// hasBuffered reports whether more bytes can be read without waiting.
-func (s *responseStream) hasBuffered() bool { return s.reader.Buffered() > 0 }
+// ready reports whether Read returns without waiting for the server.
+func (s *responseStream) ready() bool { return s.remaining == 0 || s.body.ready() }
 
 // failureReason returns the close reason for the connection after a failed read.
 func (s *responseStream) failureReason() closeReason {
@@ -181,7 +174,7 @@
 // finish ends the use of the connection. With reasonNone, after a complete response, it returns the connection to the
 // pool if that can be reused; otherwise it closes the connection for the reason.
 func (s *responseStream) finish(reason closeReason) {
-	extraBytes := s.end.extraBytes || s.hasBuffered()
+	extraBytes := s.end.extraBytes || s.reader.Buffered() > 0
 	s.reader.Reset(nil)
 	s.transport.readers.Put(s.reader)
 	switch {
@@ -195,56 +188,3 @@
 		s.transport.putConn(s.conn)
 	}
 }
-
-// readFirstPart reads the first part of a body of unknown length: what is short and arrives soon, and has room in
-// memory. complete is true if this is the whole body.
-func (g *growingBuffer) readFirstPart(conn *upstreamConn, reader *bufio.Reader, body io.Reader,
-	deadline time.Time) (complete bool, err error) {
-	waitEnd := time.Now().Add(firstPartWait)
-	for len(g.bytes) <= protocol.MaxBufferedBody {
-		if reader.Buffered() == 0 && conn.isSilentUntil(reader, waitEnd, deadline) || !g.grow() {
-			return false, nil
-		}
-		err := g.readFrom(body)
-		if errors.Is(err, io.EOF) {
-			return true, nil
-		}
-		if err != nil {
-			return false, err
-		}
-	}
-	return false, nil
-}
-
-// isSilentUntil waits until waitEnd for bytes of a response with the given deadline, and reports whether none have
-// arrived. It returns false without waiting if the deadline of the response is not after waitEnd.
-func (c *upstreamConn) isSilentUntil(reader *bufio.Reader, waitEnd, deadline time.Time) bool {
-	end := c.responseDeadline(deadline)
-	if !end.IsZero() && !waitEnd.Before(end) {
-		return false
-	}
-	_ = c.SetReadDeadline(waitEnd)
-	_, err := reader.Peek(1)
-	_ = c.SetReadDeadline(end)
-	// A deadline that expires before waitEnd was set by Interrupt.
-	if !errors.Is(err, os.ErrDeadlineExceeded) || time.Now().Before(waitEnd) {
-		return false
-	}
-	c.readErr = nil // the expired deadline lost no bytes
-	return true
-}
-
-// skipTrailer discards the trailer lines after the last chunk.
-func skipTrailer(reader *bufio.Reader) error {
-	for room := maxResponseHead; room > 0; {
-		line, err := reader.ReadSlice('\n')
-		if err != nil {
-			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-		room -= len(line)
-	}
-	return errResponseTooLarge
-}
--- a/internal/transport/upstream_response.go
+++ b/internal/transport/upstream_response.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -89,7 +88,7 @@
 	case r.length == 0:
 		r.end = bufferedEnd(reader)
 	case strings.EqualFold(r.firstValue("Connection"), "close"):
-		err = r.readUnknownLength(conn, reader, reader, buffers, deadline)
+		err = r.readUnknownLength(conn, reader, plainBody{reader}, buffers, deadline)
 	default: // the end of the connection would not prove that the body is complete
 		err = malformedResponse("body without a length on a connection that stays open")
 	}
@@ -101,7 +100,7 @@
 	r.stream = &responseStream{
 		conn:      conn,
 		reader:    reader,
-		body:      reader,
+		body:      plainBody{reader},
 		length:    r.length,
 		remaining: r.length,
 	}
@@ -117,10 +116,10 @@
 }
 
 // readUnknownLength reads the first part of a body without an announced length.
-func (r *upstreamResponse) readUnknownLength(conn *upstreamConn, reader *bufio.Reader, body io.Reader,
+func (r *upstreamResponse) readUnknownLength(conn *upstreamConn, reader *bufio.Reader, body responseBody,
 	buffers *bufferPool, deadline time.Time) error {
 	first := growingBuffer{pool: buffers}
-	complete, err := first.readFirstPart(conn, reader, body, deadline)
+	complete, err := first.readFirstPart(conn, body, deadline)
 	r.buf = first.buffer
 	r.body = first.bytes
 	if err == nil && !complete {
@@ -130,7 +129,6 @@
 			body:      body,
 			length:    -1,
 			remaining: maxResponseBody,
-			firstPart: int64(len(r.body)),
 		}
 	}
 	return err
