Count the bytes of a body that net/http has read ahead as arrived

Cause: the time of a long body counts from its last byte, and what has arrived was counted from what the node had read of the body and what its socket held. Up to 4 KB between the two, in the buffer of net/http, were counted nowhere. If the end of the body was there and the socket empty, nothing was held back by that count, and the time was not known until the server took more. If other bytes lay in the socket, the node took what it saw for all that the client had written; the bytes from the buffer then looked new, and the time began anew. Evidence: a trace of a body of 2,207,142 bytes: 2,196,480 read, 7,605 in the socket, 3,057 in the buffer; its time of 0.6 s began anew at 0.5 s, answer after 1.10 s. Change: the connection's own parser of request framing, which sees each byte that is read, counts the bytes of a body and knows its end. The end is noted when it is read, before the server takes it. If a framing is not parsed (chunk extensions, trailers), the end counts as possibly read. The check for a silent client looks at the socket before the time of the last read, since a read may be in progress between the two (by reading). Not chosen: taking the buffer from net/http, whose body hides it.

--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -147,6 +147,25 @@
 	return c.state.request == requestComplete || c.framing.complete(c.responseCount+1)
 }
 
+// bodyArrival is what has been read of the body of a request, by the handler or into the buffer of http.Server.
+type bodyArrival struct {
+	bytes    int64 // the framing of chunks included
+	complete bool  // the last byte is among them
+	// endUnknown is true if the framing is not parsed, so that the last byte may be among them.
+	endUnknown bool
+}
+
+// bodyArrival returns what has been read of the body of the current request.
+func (c *clientConn) bodyArrival() bodyArrival {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return bodyArrival{
+		bytes:      c.framing.bodyBytes,
+		complete:   c.framing.complete(c.responseCount + 1),
+		endUnknown: c.framing.stopped,
+	}
+}
+
 // requestStartTime returns the start time of the current request: see requestStartedAt.
 func (c *clientConn) requestStartTime() time.Time {
 	c.conns.mu.Lock()
--- a/internal/transport/request_framing.go
+++ b/internal/transport/request_framing.go
@@ -60,6 +60,8 @@
 
 	// bodyLeft is the number of bytes of the body, or of the current chunk, that have not been read.
 	bodyLeft int64
+	// bodyBytes is the number of bytes behind the last head, the framing of chunks included.
+	bodyBytes int64
 	// chunked reports whether the body is chunked.
 	chunked bool
 	// inBody reports whether a chunked body is being parsed.
@@ -110,9 +112,11 @@
 		case f.bodyLeft > 0:
 			n := min(f.bodyLeft, int64(len(b)))
 			f.bodyLeft -= n
+			f.bodyBytes += n
 			b = b[n:]
 		case f.inBody:
 			f.feedChunkByte(b[0])
+			f.bodyBytes++
 			b = b[1:]
 		case f.linePrefixLen == len(f.linePrefix) && !f.inContentLength:
 			b = f.skipLine(b)
@@ -121,6 +125,7 @@
 			b = b[1:]
 		}
 	}
+	f.bodyBytes += int64(len(b)) // of a body whose end is not known
 }
 
 // skipLine skips the rest of a line whose content does not matter, and returns the bytes after the line.
@@ -147,6 +152,7 @@
 		f.startedCount++
 		f.headBytes = 0
 		f.headLines = 0
+		f.bodyBytes = 0
 	}
 	f.headBytes++
 	f.checkMethod(c)
--- a/internal/transport/upload_read.go
+++ b/internal/transport/upload_read.go
@@ -56,7 +56,7 @@
 		buffers:    buffers,
 		received:   make(chan time.Time, 1),
 		clientPace: transferPace{bytes: bytes, waited: now.Sub(r.conn.requestStartTime())},
-		pressure:   newBackpressure(r.length, bytes),
+		pressure:   newBackpressure(r.length, max(r.conn.bodyArrival().bytes, bytes)),
 		heldSince:  r.conn.receivedAt(now),
 	}
 }
@@ -141,7 +141,7 @@
 	u.clientPace.add(n, started)
 	u.heldSince = time.Now()
 	u.endSilence(u.conn.lastReadTime())
-	u.noteArrived(u.clientPace.bytes, u.heldSince)
+	u.noteRead()
 	if u.clientPace.bytes > maxRequestBody {
 		err = errBodyTooLarge
 	}
@@ -155,6 +155,17 @@
 	return buf[:n], err
 }
 
+// noteRead records what has been read of the body, into the buffer of net/http too. The end of the body may wait there
+// for as long as the server takes nothing. The caller must hold reading.
+func (u *upload) noteRead() {
+	arrival := u.conn.bodyArrival()
+	if arrival.complete {
+		u.setReceived()
+		return
+	}
+	u.noteArrived(max(arrival.bytes, u.clientPace.bytes), u.heldSince)
+}
+
 // endReading records the end of the body or the error that ended the reading. The caller must hold reading.
 func (u *upload) endReading(err error) {
 	u.readErr = err
--- a/internal/transport/upload_watch.go
+++ b/internal/transport/upload_watch.go
@@ -104,7 +104,7 @@
 // arrived since the last read. What has been read may still contain the end of the body.
 func (u *upload) checkSilence() {
 	now := time.Now()
-	if now.Sub(u.conn.lastReadTime()) >= minClientSilence && u.unread() == 0 {
+	if u.unread() == 0 && now.Sub(u.conn.lastReadTime()) >= minClientSilence { // in this order: a read may be in progress
 		u.silentAt.Store(&now)
 	}
 }
@@ -127,20 +127,29 @@
 	return int64(n)
 }
 
-// noteArrivals updates pressure with the bytes that the client's socket holds, and determines whether the last byte is
-// among them. The caller must hold reading.
+// noteArrivals updates pressure with the bytes that the client's socket and the buffer of net/http hold, and determines
+// whether the last byte is among them. The caller must hold reading.
 func (u *upload) noteArrivals() {
 	now := time.Now()
 	heldFor := now.Sub(u.heldSince)
 	u.heldSince = now
+	arrival := u.conn.bodyArrival()
 	unread := u.unread()
-	if unread == 0 {
-		u.checkSilence()
+	switch {
+	case arrival.complete:
+		u.pressure.hold(heldFor)
+		u.setReceived()
 		return
+	case unread > 0:
+		u.endSilence(now)
+	default:
+		u.checkSilence()
+		if !arrival.endUnknown {
+			return
+		}
 	}
-	u.endSilence(now)
 	u.pressure.hold(heldFor)
-	u.noteArrived(u.clientPace.bytes+unread, now)
+	u.noteArrived(max(arrival.bytes, u.clientPace.bytes)+unread, now)
 	if u.length >= 0 && u.pressure.arrived >= u.length {
 		u.setReceived()
 	}
