Give memory back to a successor before it starts, stalled requests included

Cause: the predecessor sent its state, with which the successor begins to serve, and lowered its own limits afterwards. Bodies of stalled requests kept their memory beyond the lowered limit for seconds. On arm64, where the margin was set, code takes less memory. Evidence: samples of both processes each 20 ms: 24.2 MB of the predecessor beside 8 MB of the successor, 17.7 MB some 150 ms later, and 8.9 MB of code in each. Change: the predecessor applies the limits of two processes before it sends its state. With less memory for messages it closes the connections of requests that have stalled, the longest first, each with its 503, within 100 ms. The runtime's limit leaves 12 MB, not 10, for what it does not count. Not chosen: counting the pages of code that both share only once, which would hold with the old order too (some 42 MB), but is another check.

--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -114,14 +114,17 @@
 
 // applyLimits applies this process's share of the node's limits. It is called when the number of the node's processes
 // or the configuration changes.
-func (n *Node) applyLimits() {
+func (n *Node) applyLimits() { n.applyLimitsOf(n.processes.count()) }
+
+// applyLimitsOf applies the share of one of a number of processes.
+func (n *Node) applyLimitsOf(processes int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	share := handover.ResourceShare(n.processes.count())
+	share := handover.ResourceShare(processes)
 	n.transport.Configure(n.upstreamConfig(n.config, share))
+	n.memory.SetLimit(messageMemory(n.config, share))
 	n.frontend.SetClientLimits(clientLimits(n.config, share))
 	n.limitAdmin(n.config, share)
-	n.memory.SetLimit(messageMemory(n.config, share))
 	n.router.SetMaxEndedCallBytes(maxEndedCallBytes(n.config, share))
 	if n.options.ApplyLimits != nil {
 		n.options.ApplyLimits(n.config, share)
--- a/internal/node/predecessor.go
+++ b/internal/node/predecessor.go
@@ -52,10 +52,13 @@
 }
 
 // sendState sends a successor this process's state and its listener. It holds the lock on commands: operators' commands
-// that arrive meanwhile are executed afterwards and forwarded on the link.
+// that arrive meanwhile are executed afterwards and forwarded on the link. The successor needs memory as soon as it has
+// the state, so this process gives back its part before.
 func (n *Node) sendState(link *handover.Link) error {
 	n.processes.commands.Lock()
 	defer n.processes.commands.Unlock()
+	n.applyLimitsOf(n.processes.count() + 1)
+	defer n.applyLimits()
 	state := n.state()
 	for _, message := range state.Messages() {
 		var descriptor syscall.Conn
@@ -69,7 +72,6 @@
 	n.processes.setSuccessor(link)
 	n.router.AttachSuccessor(linkedProcess{link})
 	n.log.Info("successor", "servers", len(state.Servers))
-	n.applyLimits()
 	return nil
 }
 
--- a/internal/program/limits.go
+++ b/internal/program/limits.go
@@ -13,7 +13,7 @@
 	heapShare = 0.7
 	// programMemory is the memory of a process, in bytes, that the runtime's limit does not cover, however little memory
 	// the process may use: mostly the program's code.
-	programMemory = 10 << 20
+	programMemory = 12 << 20
 	// smallHeapShare is the fraction of the memory beyond programMemory that the Go runtime may use.
 	smallHeapShare = 0.9
 	// gcPercent is the value of GOGC, in percent. It is high, so that garbage collection takes little processor time
--- a/internal/transport/client_rejection.go
+++ b/internal/transport/client_rejection.go
@@ -16,6 +16,10 @@
 	headRejection = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// minEvictionInterval is the minimum time between two evictions for lack of memory.
 	minEvictionInterval = 20 * time.Millisecond
+	// budgetEvictionTime limits the time for which evictBeyondBudget closes connections, and budgetEvictionPause is the
+	// time that each of them has to release its memory.
+	budgetEvictionTime  = 100 * time.Millisecond
+	budgetEvictionPause = time.Millisecond
 	// rejectionWriteTimeout limits the write of rejection, for which the node does not accept other connections. It ends
 	// only if the client does not read earlier responses.
 	rejectionWriteTimeout = 5 * time.Millisecond
@@ -103,3 +107,26 @@
 		cs.closeConns(reasonStalled, c)
 	}
 }
+
+// evictBeyondBudget closes the connections of stalled requests, as evictStalled does, while messages take more memory
+// than the budget allows. The limit has just been lowered, since another process of the node needs the memory.
+func (cs *clientConns) evictBeyondBudget() {
+	for end := time.Now().Add(budgetEvictionTime); cs.memory.exceeded() && time.Now().Before(end); {
+		if !cs.evictLongestStalled() {
+			return
+		}
+		time.Sleep(budgetEvictionPause)
+	}
+}
+
+// evictLongestStalled closes the connection whose request has stalled for the longest time, and reports whether there is
+// one.
+func (cs *clientConns) evictLongestStalled() bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	c := cs.longestStalled(time.Now())
+	if c != nil {
+		cs.closeConns(reasonStalled, c)
+	}
+	return c != nil
+}
--- a/internal/transport/frontend.go
+++ b/internal/transport/frontend.go
@@ -139,10 +139,12 @@
 // SetNames changes the wire names and request classes for parsing calls.
 func (f *Frontend) SetNames(names protocol.NameIndex) { f.names.Store(&names) }
 
-// SetClientLimits changes the limits of client connections and closes idle connections that exceed them.
+// SetClientLimits changes the limits of client connections. It closes idle connections that exceed them, and those of
+// stalled requests that exceed the memory budget.
 func (f *Frontend) SetClientLimits(limits ClientLimits) {
 	f.readAhead.limit.Store(limits.MaxReadAhead)
 	f.clients.setLimits(limits)
+	f.clients.evictBeyondBudget()
 }
 
 // ClientStats returns the number of client connections in each state, as name=value pairs on one line.
--- a/internal/transport/memory_budget.go
+++ b/internal/transport/memory_budget.go
@@ -93,6 +93,9 @@
 	return b != nil && b.inUse.Load()*pressureDenominator > b.limit.Load()*pressureNumerator
 }
 
+// exceeded reports whether more bytes are in use than the budget allows.
+func (b *MemoryBudget) exceeded() bool { return b != nil && b.inUse.Load() > b.limit.Load() }
+
 // headCost returns the memory that is charged for a head of a number of bytes.
 func headCost(bytes int) int64 {
 	return int64(max(bytes-minChargedBytes, 0)) * headCostFactor
