Serve a call with the answer that has begun, although its attempt is cancelled

Cause: the balancer cancels an attempt that seems overtaken, to try again. The cancellation interrupts the wait for the first part, but the wait then set the attempt's deadline anew, and the read that followed waited until it: the cancelled attempt ended neither at once nor with the answer that it had. A trace shows the interruption 7 ms after the head, and the end of the read at the deadline. Change: an interrupted wait ends the first part; the attempt's deadline is not set again, since no read that could wait follows. If the call is still open, its answer that has begun serves it; if the call is answered or its client has left, the attempt ends as cancelled. Not chosen: telling the balancer of the first byte, which would not stop a cancellation under way.

--- a/internal/transport/response_body.go
+++ b/internal/transport/response_body.go
@@ -46,7 +46,7 @@
 	deadline time.Time) (complete bool, err error) {
 	waitEnd := conn.firstPartEnd(deadline)
 	for len(g.bytes) <= protocol.MaxBufferedBody {
-		if !conn.awaitBody(body, waitEnd, deadline) || !g.grow() {
+		if !conn.awaitBody(body, waitEnd) || !g.grow() {
 			return false, nil
 		}
 		err := g.readFrom(body)
@@ -70,24 +70,22 @@
 	return end.Add(-firstPartMargin)
 }
 
-// awaitBody waits until waitEnd for the body of a response with the given deadline. It reports whether a read of it
-// returns without waiting: with bytes, the end or an error.
-func (c *upstreamConn) awaitBody(body responseBody, waitEnd, deadline time.Time) bool {
+// awaitBody waits until waitEnd for a body, and reports whether a read of it returns without waiting: with bytes, the end
+// or an error. An attempt that is cancelled meanwhile waits no longer: its first part may still be needed.
+func (c *upstreamConn) awaitBody(body responseBody, waitEnd time.Time) bool {
 	if body.ready() {
 		return true
 	}
 	_ = c.SetReadDeadline(waitEnd)
-	defer func() { _ = c.SetReadDeadline(c.responseDeadline(deadline)) }()
 	for !body.ready() {
 		err := body.await()
-		switch {
-		case err == nil:
-		case !errors.Is(err, os.ErrDeadlineExceeded) || time.Now().Before(waitEnd): // the latter was set by Interrupt
-			return true
-		default:
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.readErr = nil // the expired deadline lost no bytes
 			return false
 		}
+		if err != nil {
+			return true
+		}
 	}
 	return true
 }
--- a/internal/transport/response_stream_test.go
+++ b/internal/transport/response_stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -223,3 +225,44 @@
 	close(goOn)
 	s.stream.finish(reasonNone)
 }
+
+// The attempt is cancelled after its head, while the first part waits for more bytes.
+func TestCancelledAttemptWhoseAnswerHasBegunServesCall(t *testing.T) {
+	for name, c := range map[string]struct {
+		callDone bool
+		result   balancer.Result
+	}{"call open": {false, balancer.OK}, "call answered": {true, balancer.Cancelled}} {
+		written, goOn := make(chan bool), make(chan bool)
+		server := startServer(t, func(conn net.Conn) {
+			http.ReadRequest(bufio.NewReader(conn))
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n3")
+			written <- true
+			<-goOn
+			io.WriteString(conn, "\r\ndef\r\n0\r\n\r\n")
+		})
+		transport, _ := newTestTransport(time.Second)
+		attempt := newAttempt(server, "GET", "")
+		attempt.ExpiresAt = time.Now().Add(5 * time.Second)
+		attempt.CallDone = new(atomic.Bool)
+		ctx, cancel := context.WithCancelCause(t.Context())
+		go func() {
+			<-written
+			time.Sleep(firstPartWait / 4)
+			attempt.CallDone.Store(c.callDone)
+			cancel(routing.ErrCancelled)
+		}()
+		begun := time.Now()
+		r := transport.RoundTrip(ctx, attempt)
+		close(goOn)
+		if elapsed := time.Since(begun); r.Result != c.result || elapsed > time.Second {
+			t.Errorf("%s: result %d after %v, want %d at once", name, r.Result, elapsed, c.result)
+		}
+		if s, ok := r.Reply.(*response); ok {
+			first := string(s.body)
+			if rest, err := io.ReadAll(s.stream); first+string(rest) != "abcdef" || err != nil {
+				t.Errorf("%s: read %q and %q, error %v, want abcdef", name, first, rest, err)
+			}
+			s.stream.finish(reasonNone)
+		}
+	}
+}
--- a/internal/transport/upstream_transport.go
+++ b/internal/transport/upstream_transport.go
@@ -167,7 +167,8 @@
 	r, err := readResponse(conn, reader, &t.buffers, attempt.ExpiresAt)
 	notCancelled := watch.stop()
 	result := protocol.ClassifyResponse(r.status, r.values(protocol.HeaderRejected))
-	if err == nil && r.stream != nil && result == balancer.OK && notCancelled {
+	wanted := notCancelled || attempt.CallDone != nil && !attempt.CallDone.Load() // overtaken, but the first to answer
+	if err == nil && r.stream != nil && result == balancer.OK && wanted {
 		r.stream.transport = t
 		r.stream.closeAfter = r.closeAfter
 		r.stream.deadline = conn.responseDeadline(attempt.ExpiresAt)
