Lab: draw long answers that servers write in parts, and hold nodes to them

The judge knows from the server that such an answer has begun: of it the first bytes are timed; a call that gets another status while it arrives is lost, as one whose connection the node ends before the server has paused for 1.85 s. Two functions of the judge that had grown are split.

--- a/internal/lab/event/observer.go
+++ b/internal/lab/event/observer.go
@@ -21,6 +21,9 @@
 	// PeerMisframed reports that a peer is about to send, in place of the answer
 	// to a call, one whose announced length makes another body of it.
 	PeerMisframed(peer, call string)
+	// PeerAnswersInParts reports that a peer is about to send the complete answer
+	// to a call, which is over 64 KiB, in parts with pauses between them.
+	PeerAnswersInParts(peer, call string)
 	// PeerListed reports a change of discovery's endpoint list, with its version.
 	// state is Ready, Terminating or Gone. started is the time of the peer's last
 	// start since the run began; 0 if it started before the run.
@@ -64,6 +67,9 @@
 // PeerMisframed implements Observer.
 func (NopObserver) PeerMisframed(string, string) {}
 
+// PeerAnswersInParts implements Observer.
+func (NopObserver) PeerAnswersInParts(string, string) {}
+
 // PeerListed implements Observer.
 func (NopObserver) PeerListed(int64, string, string, string, time.Duration) {}
 
--- a/internal/lab/fault/draw.go
+++ b/internal/lab/fault/draw.go
@@ -97,6 +97,7 @@
 			Body: k.Body.draw(g), ResponseBody: k.ResponseBody.draw(g)})
 	}
 	d.buffers()
+	d.parts()
 	d.mix = shares(d.mix)
 	for i, k := range d.s.World.Classes {
 		d.meanWork += d.mix[i] * k.Work.D().Seconds()
@@ -118,6 +119,20 @@
 	}
 }
 
+// parts draws, in some runs, long answers that servers send in parts.
+func (d *drawer) parts() {
+	parts, g := &d.sc.Parts, d.stream("answers in parts")
+	if !chance(g, parts.Runs) {
+		return
+	}
+	for i := range d.s.World.Classes {
+		class := &d.s.World.Classes[i]
+		class.PartedShare = parts.Share.draw(g)
+		class.PartedBody = parts.Body.draw(g)
+		class.PartPause = parts.Pause.draw(g)
+	}
+}
+
 // shares scales numbers so that they add up to 1, and rounds each to three digits.
 func shares(of []float64) []float64 {
 	sum := 0.0
--- a/internal/lab/fault/draw_test.go
+++ b/internal/lab/fault/draw_test.go
@@ -33,7 +33,7 @@
 // Verifies that the script of a seed does not change, since recorded failures refer to seeds. A deliberate change of
 // the draws must change this hash.
 func TestDrawGolden(t *testing.T) {
-	const want = "e861b151b80c7f5f4649a8871b0cc596c0a16a02822ed1941b6df1bdc239483b"
+	const want = "b5c92c61158494c21c8462bc81cca250668256a09aeebf234eb8c21f99a49305"
 	sc, sum := scenario(t), sha256.New()
 	for seed := range uint64(20) {
 		sum.Write(encoded(t, Draw(seed, sc)))
--- a/internal/lab/fault/limits.go
+++ b/internal/lab/fault/limits.go
@@ -49,6 +49,8 @@
 		"world.class.answer": {0, 1 << 20, false},
 		"world.class.long":   share, "world.class.long_body": {0, 4 << 20, false},
 		"world.class.long_for": {0, 20, false},
+		"world.class.parted":   share, "world.class.parted_body": {0, 1 << 20, false},
+		"world.class.part_pause": {0, 1.8, false},
 
 		"world.tenant.share": share, "world.tenant.quota": {0, 1e6, false},
 
--- a/internal/lab/fault/scenario.go
+++ b/internal/lab/fault/scenario.go
@@ -14,6 +14,7 @@
 	Scale     Scale           `toml:"scale"`
 	Load      LoadRanges      `toml:"load"`
 	Net       NetRanges       `toml:"net"`
+	Parts     PartRanges      `toml:"parts,omitempty"`
 	Contract  ContractRanges  `toml:"contract"`
 	Discovery DiscoveryRanges `toml:"discovery"`
 	Front     FrontRanges     `toml:"front"`
@@ -68,6 +69,14 @@
 	LongFor  Spans  `toml:"long_for,omitempty" of:"world.class.long_for"`
 }
 
+// PartRanges draws the long answers that servers send in parts.
+type PartRanges struct {
+	Runs  float64 `toml:"runs,omitempty" of:"scenario.chance"` // share of runs with such answers; 0: none
+	Share Range   `toml:"share,omitempty" of:"world.class.parted"`
+	Body  Counts  `toml:"body,omitempty" of:"world.class.parted_body"`
+	Pause Spans   `toml:"pause,omitempty" of:"world.class.part_pause"`
+}
+
 // ContractRanges draws world.Contract. For a permission, it holds the share of runs in which it is granted.
 type ContractRanges struct {
 	DrainGrace     Spans   `toml:"drain_grace" of:"world.contract.drain_grace"`
--- a/internal/lab/rules/call.go
+++ b/internal/lab/rules/call.go
@@ -1,6 +1,9 @@
 package rules
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // call records the requests and attempts with one call ID at one node.
 type call struct {
@@ -48,6 +51,22 @@
 	return k != nil && slices.ContainsFunc(k.attempts, func(a *attempt) bool { return a.truncated })
 }
 
+// answersInParts records that a peer is about to send the answer to an attempt in parts.
+func (k *call) answersInParts(peer string) {
+	for _, a := range k.attempts {
+		if a.conn.name == peer && !a.finished && !a.inParts {
+			a.inParts = true
+			a.answerStart = a.conn.backward.sent
+		}
+	}
+}
+
+// isAnswering reports whether an answer in parts to any attempt has been arriving at the node for a duration. The
+// receiver may be nil.
+func (k *call) isAnswering(now, duration time.Duration) bool {
+	return k != nil && slices.ContainsFunc(k.attempts, func(a *attempt) bool { return a.isAnswering(now, duration) })
+}
+
 // busy reports whether any request or attempt of the call is still open.
 func (k *call) busy() bool {
 	return slices.ContainsFunc(k.requests, func(r *request) bool { return !r.settled || r.isArriving() }) ||
--- a/internal/lab/rules/client_conn.go
+++ b/internal/lab/rules/client_conn.go
@@ -165,12 +165,17 @@
 		at = c.judge.now // its time starts with the answer to the request before it
 	}
 	at += r.budget + c.judge.config.Slack
-	c.judge.schedule(at, func() {
-		if r.needsAnswer() && !r.reported && c.node.incarnation == c.incarnation {
-			r.reported = true
-			c.judge.report(Late, at, "%s: call %s has no answer %v after its sending", c.id, r.id, at-r.acceptedAt)
-		}
-	})
+	c.judge.schedule(at, func() { c.checkDeadline(r, at) })
+}
+
+// checkDeadline reports a request that has no answer at the end of its time. Of a long answer, the first bytes are
+// timed, and one that the peer has truncated has failed.
+func (c *clientConn) checkDeadline(r *request, at time.Duration) {
+	begun := c.answering == r && (r.call.isAnswering(at, 0) || r.call.truncated())
+	if r.needsAnswer() && !begun && !r.reported && c.node.incarnation == c.incarnation {
+		r.reported = true
+		c.judge.report(Late, at, "%s: call %s has no answer %v after its sending", c.id, r.id, at-r.acceptedAt)
+	}
 }
 
 // settle marks a request as answered, or as one that needs no answer any more.
@@ -228,8 +233,8 @@
 	case r.malformed:
 	case m.status == http.StatusOK:
 		c.checkBody(r, m)
-	case m.rejectsCall() && r.call != nil && !settled && !r.idempotent():
-		c.checkRejection(r)
+	case !settled:
+		c.checkFailure(r, m)
 	}
 	if c.announcedClose {
 		c.settleAccepted()
@@ -257,6 +262,18 @@
 	}
 }
 
+// checkFailure checks an answer with another status than 200 to a call that still needed one.
+func (c *clientConn) checkFailure(r *request, m *message) {
+	if r.call.isAnswering(c.judge.now, c.judge.config.Slack) {
+		c.judge.report(Lost, c.judge.now, "%s: call %s gets status %d while a peer's answer to it arrives", c.id, r.id,
+			m.status)
+		return
+	}
+	if m.rejectsCall() && r.call != nil && !r.idempotent() {
+		c.checkRejection(r)
+	}
+}
+
 // checkRejection checks that no attempt of a rejected non-idempotent call has
 // run or may run.
 func (c *clientConn) checkRejection(r *request) {
@@ -325,9 +342,8 @@
 	now := c.judge.now
 	for _, r := range c.queue {
 		r.forbidAttempts(now + simultaneityTolerance)
-		truncated := r == c.answering && r.call.truncated()
-		if r.needsAnswer() && c.forward.read >= r.end && !truncated {
-			c.reportUnanswered(r, now)
+		if r.needsAnswer() && c.forward.read >= r.end {
+			c.reportUnanswered(r, now, r == c.answering)
 		}
 		c.settle(r)
 	}
@@ -335,10 +351,12 @@
 
 // reportUnanswered reports an unanswered request whose connection the node
 // ended. The check is deferred to the end of the instant, because it does not
-// apply if the node is killed at the same instant.
-func (c *clientConn) reportUnanswered(r *request, at time.Duration) {
+// apply if the node is killed at the same instant, or if its answer has begun
+// and that of the peer turns out to be truncated.
+func (c *clientConn) reportUnanswered(r *request, at time.Duration, begun bool) {
 	c.judge.schedule(at, func() {
-		if !r.reported && c.node.incarnation == c.incarnation {
+		truncated := begun && r.call.truncated()
+		if !r.reported && !truncated && c.node.incarnation == c.incarnation {
 			r.reported = true
 			c.judge.report(Lost, at, "%s: the node read call %s and ended the connection unanswered",
 				c.id, r.id)
--- a/internal/lab/rules/observer.go
+++ b/internal/lab/rules/observer.go
@@ -30,6 +30,16 @@
 	j.misframed[peerCall{peer, call}] = true
 }
 
+// PeerAnswersInParts implements event.Observer.
+func (j *Judge) PeerAnswersInParts(peer, call string) {
+	j.clock()
+	for _, name := range j.config.Nodes {
+		if k := j.nodes[name].calls[call]; k != nil {
+			k.answersInParts(peer)
+		}
+	}
+}
+
 // PeerListed implements event.Observer.
 func (j *Judge) PeerListed(version int64, peer, addr, state string, started time.Duration) {
 	j.listings.append(listing{
--- a/internal/lab/rules/peer_conn.go
+++ b/internal/lab/rules/peer_conn.go
@@ -1,6 +1,9 @@
 package rules
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // healthCheckPath is the request path of health checks. They are the only
 // requests to a peer that may have no call ID.
@@ -14,8 +17,14 @@
 	unanswered []*attempt   // begun and without a complete answer, oldest first
 	answering  *attempt     // the attempt whose answer the peer is sending; nil: none
 	answers    []peerAnswer // sent completely and not yet arrived
+
+	arrivedBytes  int64         // offset up to which bytes have reached the node
+	lastArrivalAt time.Duration // when the last of them did
 }
 
+// maxAnswerPause is the time for which a node must wait for the next bytes of an answer in parts.
+const maxAnswerPause = 1850 * time.Millisecond
+
 // peerCall names the attempt of a call at a peer.
 type peerCall struct{ peer, call string }
 
@@ -186,6 +195,16 @@
 
 // arrived handles the answers that have reached the node completely.
 func (c *peerConn) arrived() {
+	if c.backward.arrived > c.arrivedBytes {
+		c.arrivedBytes = c.backward.arrived
+		c.lastArrivalAt = c.judge.now
+	}
+	if c.answering != nil {
+		c.answering.noteAnswerHead(c.backward.arrived, c.judge.now)
+	}
+	for _, a := range c.answers {
+		a.attempt.noteAnswerHead(c.backward.arrived, c.judge.now)
+	}
 	for len(c.answers) > 0 && c.answers[0].end <= c.backward.arrived {
 		a := c.answers[0]
 		c.answers = c.answers[1:]
@@ -200,9 +219,13 @@
 // closed is called when one side has ended its sending or the connection was
 // reset. byNode is true if it was the node.
 func (c *peerConn) closed(byNode bool) {
-	if c.answering != nil && !byNode {
+	silent := c.judge.now-c.lastArrivalAt >= maxAnswerPause // the node need not wait longer
+	if c.answering != nil && (!byNode || silent) {
 		c.answering.truncated = true
 	}
+	for _, a := range c.answers { // sent, but the network holds their bytes or has lost them
+		a.attempt.truncated = a.attempt.truncated || silent || c.broken
+	}
 	for _, a := range c.unanswered {
 		a.finished = true
 	}
--- a/internal/lab/rules/rule.go
+++ b/internal/lab/rules/rule.go
@@ -25,14 +25,17 @@
 	//   - The connection also carries malformed input: nodes close such a connection
 	//     even if other requests wait on it.
 	//
-	// An answer that is truncated because the peer's answer was truncated counts as
-	// failed, not as lost.
+	// An answer that is truncated because the peer's answer was truncated, or paused
+	// for maxAnswerPause, counts as failed, not as lost. An answer over 64 KiB that a
+	// peer sends in parts is passed on: a call is lost if it gets another status while
+	// that answer has been arriving at the node for the slack.
 	Lost = "lost"
 	// Late (1): the last byte of the answer leaves the node within the request's
 	// budget, counted from the sending of the request's last byte. The transit time
 	// to the node counts up to half of the slack; any excess extends the limit. The
 	// transit time of the answer does not count. For a request that waits for the
 	// answer to an earlier one on its connection, the time starts with that answer.
+	// Of an answer over 64 KiB that a peer sends in parts, the first bytes count.
 	// Because a client that has left needs no answer, a violation shows only if the
 	// client stays for its budget and the slack.
 	Late = "late"
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -151,6 +151,17 @@
 	s.peerAnswer(id+"1", "200 "+id)
 	s.answer(id, "200 "+id)
 }
+
+// answerInParts is the first part of an answer whose body is "abc".
+var answerInParts = "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", answerHeadSize) + "\r\nContent-Length: 3\r\n\r\na"
+
+// beginAnswerInParts sends a call to a peer, which begins to answer it in parts.
+func (s *timeline) beginAnswerInParts(attempt string) {
+	s.request("a", "quote")
+	s.attempt(attempt, "quote")
+	s.j.PeerAnswersInParts("p1", "a")
+	s.send(attempt, true, answerInParts)
+}
 func (s *timeline) peerAnswer(conn, text string) { s.send(conn, true, answerBytes(text)) }
 func (s *timeline) closeConn(conn string, back bool, note string) {
 	s.networkEvent(link.Closed, conn, back, "", note)
@@ -409,6 +420,35 @@
 		s.answer("a", "200 abc")
 	}},
 
+	{"refused while a peer's answer in parts arrives", Lost, nil, func(s *timeline) {
+		s.beginAnswerInParts("a1")
+		s.advance(400 * ms)
+		s.answer("a", "503 ")
+	}},
+	{"cut while a peer's answer in parts arrives", Lost, nil, func(s *timeline) {
+		s.beginAnswerInParts("a1")
+		s.send("a", true, answerInParts)
+		s.advance(time.Second)
+		s.closeConn("a1", false, "")
+		s.closeConn("a", true, "")
+		s.advance(time.Second)
+	}},
+	{"answer in parts passed on beyond its time", "", nil, func(s *timeline) {
+		s.beginAnswerInParts("a1")
+		s.send("a", true, answerInParts)
+		s.advance(time.Second)
+		s.send("a1", true, "bc")
+		s.send("a", true, "bc")
+	}},
+	{"answer in parts given up after a long pause", "", nil, func(s *timeline) {
+		s.beginAnswerInParts("a1")
+		s.send("a", true, answerInParts)
+		s.advance(maxAnswerPause)
+		s.closeConn("a1", false, "")
+		s.closeConn("a", true, "")
+		s.advance(time.Second)
+	}},
+
 	{"retry of an attempt that may have run", Effect, nil, func(s *timeline) {
 		s.request("a", "book")
 		s.attempt("a1", "book")
--- a/internal/lab/stage/build.go
+++ b/internal/lab/stage/build.go
@@ -126,6 +126,11 @@
 	f.each(func(w event.Observer) { w.PeerMisframed(peer, call) })
 }
 
+// PeerAnswersInParts implements event.Observer.
+func (f observers) PeerAnswersInParts(peer, call string) {
+	f.each(func(w event.Observer) { w.PeerAnswersInParts(peer, call) })
+}
+
 // PeerListed implements event.Observer.
 func (f observers) PeerListed(version int64, peer, addr, state string, started time.Duration) {
 	f.each(func(w event.Observer) { w.PeerListed(version, peer, addr, state, started) })
--- a/internal/lab/stage/trace.go
+++ b/internal/lab/stage/trace.go
@@ -69,6 +69,9 @@
 // PeerMisframed implements event.Observer.
 func (t *trace) PeerMisframed(peer, call string) { t.note("fact misframed %s %s", peer, call) }
 
+// PeerAnswersInParts implements event.Observer.
+func (t *trace) PeerAnswersInParts(peer, call string) { t.note("fact in parts %s %s", peer, call) }
+
 // PeerListed implements event.Observer.
 func (t *trace) PeerListed(version int64, peer, addr, state string, started time.Duration) {
 	t.note("fact listed %d %s %s %s since %v", version, peer, addr, state, started)
--- a/internal/lab/stage/watch.go
+++ b/internal/lab/stage/watch.go
@@ -71,6 +71,9 @@
 // PeerMisframed implements event.Observer.
 func (w *sampler) PeerMisframed(string, string) {}
 
+// PeerAnswersInParts implements event.Observer.
+func (w *sampler) PeerAnswersInParts(string, string) {}
+
 // PeerListed implements event.Observer.
 func (w *sampler) PeerListed(_ int64, peer, _, state string, _ time.Duration) {
 	if w.run.loop.Now() > 0 {
--- a/internal/lab/world/client/message.go
+++ b/internal/lab/world/client/message.go
@@ -68,6 +68,9 @@
 			}
 		}
 	}
+	if spec.PartedShare > 0 && figure.Stream(c.env.Seed, fmt.Sprintf("%s try %d waits", r.name, r.attempts)).IntN(2) == 0 {
+		t.lingerFor = longLingerDuration
+	}
 	body := requestBody(t.id, int(size))
 	h := validMessage(spec.Name, spec.Safe, t.id, c.config.Tenant, r.key, budget, body)
 	if r.attempts > 1 {
--- a/internal/lab/world/client/request.go
+++ b/internal/lab/world/client/request.go
@@ -73,8 +73,8 @@
 // they see a response that is too late.
 const lingerDuration = 400 * time.Millisecond
 
-// longLingerDuration is the time for which the client of a long body waits beyond the deadline. Its kernel may have
-// taken the last byte later than it was written.
+// longLingerDuration is the time for which the client of a long body, or of an answer in parts, waits beyond the
+// deadline. Its kernel may have taken the last byte of a body later than it was written.
 const longLingerDuration = 3 * time.Second
 
 // startAttempt begins the next attempt of the request.
--- a/internal/lab/world/config.go
+++ b/internal/lab/world/config.go
@@ -73,6 +73,10 @@
 	LongShare    float64     `toml:"long,omitempty"`      // share of POST requests with a long body
 	LongBody     int         `toml:"long_body,omitempty"` // mean size of a long POST body, in bytes
 	LongFor      figure.Span `toml:"long_for,omitempty"`  // longest time for which a client writes a long body
+
+	PartedShare float64     `toml:"parted,omitempty"`      // share of 200 responses that are long and sent in parts
+	PartedBody  int         `toml:"parted_body,omitempty"` // mean size of the body of such a response, in bytes
+	PartPause   figure.Span `toml:"part_pause,omitempty"`  // longest pause between two of its parts
 }
 
 // Tenant is a customer of the platform.
--- a/internal/lab/world/peer/harness_test.go
+++ b/internal/lab/world/peer/harness_test.go
@@ -113,7 +113,8 @@
 func (f *recordedEvents) PeerAttempt(_, _ string, work, capacity float64) {
 	f.work, f.capacity = append(f.work, work), append(f.capacity, capacity)
 }
-func (f *recordedEvents) PeerMisframed(string, string) {}
+func (f *recordedEvents) PeerMisframed(string, string)      {}
+func (f *recordedEvents) PeerAnswersInParts(string, string) {}
 
 // harness is a peer with its network, event log and clients.
 type harness struct {
--- a/internal/lab/world/peer/request.go
+++ b/internal/lab/world/peer/request.go
@@ -177,6 +177,9 @@
 		p.stats.Served++
 		p.stats.Surplus++
 		c.send(p.surplusResponse(a))
+	case p.responseDraws("parted", a).Float64() < a.class.PartedShare:
+		p.stats.Served++
+		c.sendInParts(a, j)
 	default:
 		p.stats.Served++
 		c.send(p.okResponse(a))
--- a/internal/transport/client_rejection.go
+++ b/internal/transport/client_rejection.go
@@ -119,7 +119,7 @@
 	}
 }
 
-// evictLongestStalled closes the connection whose request has stalled for the longest time, and reports whether there is
+// evictLongestStalled closes the connection whose request has stalled for the longest time. It reports whether there is
 // one.
 func (cs *clientConns) evictLongestStalled() bool {
 	cs.mu.Lock()
--- a/internal/transport/response_body.go
+++ b/internal/transport/response_body.go
@@ -70,8 +70,8 @@
 	return end.Add(-firstPartMargin)
 }
 
-// awaitBody waits until waitEnd for a body, and reports whether a read of it returns without waiting: with bytes, the end
-// or an error. An attempt that is cancelled meanwhile waits no longer: its first part may still be needed.
+// awaitBody waits until waitEnd for a body. It reports whether a read of it returns without waiting: with bytes, the
+// end or an error. An attempt that is cancelled meanwhile waits no longer: its first part may still be needed.
 func (c *upstreamConn) awaitBody(body responseBody, waitEnd time.Time) bool {
 	if body.ready() {
 		return true
