Store a short answer in parts with its idempotency key

A client that asked again with its key got 502 and Work-State "answered" instead of the stored answer, if the first answer had no length and paused for 20 ms. Change: of a keyed call, the rest of an answer of unknown length is read up to 16 KiB and until 20 ms before the end of the call's time, before the call is recorded and answered. Calls without a key are passed on at once as before. Not chosen: recording the answer after it has been passed on, since a record has to precede the answer.

--- a/internal/transport/idempotency.go
+++ b/internal/transport/idempotency.go
@@ -142,6 +142,9 @@
 	}
 	m.client = nil // a disconnect does not end the call
 	a := f.handle(context.WithoutCancel(r.Context()), call)
+	if reply, ok := a.Reply.(*response); ok && a.Verdict == routing.Served {
+		reply.collect(maxStoredBody)
+	}
 	claim.Finish(callOutcome(a))
 	m.release()
 	f.writeAnswer(w, c, a)
--- a/internal/transport/idempotency_test.go
+++ b/internal/transport/idempotency_test.go
@@ -1,13 +1,16 @@
 package transport
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"olivebridge/internal/routing"
 )
@@ -128,3 +131,48 @@
 		t.Errorf("without a key: status %d, stored calls %+v; want 200 and none", status, store.calls)
 	}
 }
+
+// A short answer of unknown length that pauses is stored; one over the limit, or after its time, is not.
+func TestShortAnswerInPartsIsStored(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	long := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", maxStoredBody, strings.Repeat("x", maxStoredBody))
+	for name, c := range map[string]struct {
+		rest   string
+		pause  time.Duration
+		stored string
+	}{
+		"short":          {"3\r\ndef\r\n0\r\n\r\n", 5 * firstPartWait, "abcdef"},
+		"over the limit": {long, 5 * firstPartWait, ""},
+		"late":           {"3\r\ndef\r\n0\r\n\r\n", 700 * time.Millisecond, ""},
+	} {
+		server := startServer(t, func(conn net.Conn) {
+			http.ReadRequest(bufio.NewReader(conn))
+			io.WriteString(conn, head+"3\r\nabc\r\n")
+			time.Sleep(c.pause)
+			io.WriteString(conn, c.rest)
+			io.Copy(io.Discard, conn)
+		})
+		transport, _ := newTestTransport(time.Second)
+		store := &scriptedStore{}
+		addr, _, _ := newTestFrontend(t, 10, func(ctx context.Context, call routing.Call) (routing.Answer, bool) {
+			r := transport.RoundTrip(ctx, routing.Attempt{
+				Upstream: server, ExpiresAt: time.Now().Add(500 * time.Millisecond), Payload: call.Payload,
+			})
+			return routing.Answer{Verdict: routing.Served, Reply: r.Reply}, true
+		}, func(f *Frontend) { f.idempotency = store })
+		client := dialClient(t, addr)
+		begun := time.Now()
+		io.WriteString(client, callHead+"Idempotency-Key: k\r\nContent-Length: 0\r\n\r\n")
+		resp, err := http.ReadResponse(client.in, nil)
+		if err != nil {
+			t.Fatal(name, err)
+		}
+		if elapsed := time.Since(begun); elapsed > 500*time.Millisecond {
+			t.Errorf("%s: the answer began after %v, after its time", name, elapsed)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if stored := store.response; err != nil || stored.Truncated != (c.stored == "") || string(stored.Body) != c.stored {
+			t.Errorf("%s: got %d bytes and error %v; stored %+.40v", name, len(body), err, stored)
+		}
+	}
+}
--- a/internal/transport/response_body.go
+++ b/internal/transport/response_body.go
@@ -89,3 +89,27 @@
 	}
 	return true
 }
+
+// collect reads the rest of a response of unknown length, as long as it has at most limit bytes and arrives before the
+// end of the call's time. What it has read is passed on in any case.
+func (p *response) collect(limit int) {
+	s := p.stream
+	if s == nil || s.length >= 0 || s.deadline.IsZero() {
+		return
+	}
+	g := growingBuffer{pool: &s.transport.buffers, buffer: p.buf, bytes: p.body}
+	waitEnd := s.deadline.Add(-firstPartWait)
+	for len(g.bytes) <= limit && s.conn.awaitBody(s.body, waitEnd) && g.grow() {
+		err := g.readFrom(s.body)
+		if errors.Is(err, io.EOF) {
+			s.finish(reasonNone)
+			p.stream = nil
+		}
+		if err != nil { // a later read returns it again
+			break
+		}
+	}
+	s.remaining -= int64(len(g.bytes) - len(p.body))
+	p.buf = g.buffer
+	p.body = g.bytes
+}
--- a/internal/transport/response_stream_test.go
+++ b/internal/transport/response_stream_test.go
@@ -266,3 +266,28 @@
 		}
 	}
 }
+
+// Without memory for its first part, an answer is passed on as it arrives.
+func TestAnswerInPartsWithoutMemory(t *testing.T) {
+	const part = 50_000
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", part, strings.Repeat("x", part))
+	goOn := make(chan bool)
+	server := startServer(t, func(conn net.Conn) {
+		http.ReadRequest(bufio.NewReader(conn))
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk)
+		<-goOn
+		io.WriteString(conn, chunk+"0\r\n\r\n")
+	})
+	transport, _ := newTestTransport(time.Second)
+	transport.buffers.budget = NewMemoryBudget(0)
+	r := transport.RoundTrip(t.Context(), newAttempt(server, "GET", ""))
+	close(goOn)
+	if r.Result != balancer.OK || r.Reply.(*response).stream == nil {
+		t.Fatalf("result %d, want OK and a stream", r.Result)
+	}
+	s := r.Reply.(*response)
+	if rest, err := io.ReadAll(s.stream); len(s.body)+len(rest) != 2*part || err != nil {
+		t.Errorf("read %d bytes and error %v, want %d", len(s.body)+len(rest), err, 2*part)
+	}
+	s.stream.finish(reasonNone)
+}
