--- a/cmd/olivebridge/soak_test.go
+++ b/cmd/olivebridge/soak_test.go
@@ -29,8 +29,13 @@
 	killDelay = soakDeadline + 700*time.Millisecond
 	// drainAccept is the time after SIGTERM for which a node accepts connections. The next process starts after it.
 	drainAccept = 850 * time.Millisecond
-	// soakClients is the number of usual clients.
-	soakClients = 8
+	// soakClients is the number of usual clients, soakPartsClients of whom get long answers in parts.
+	soakClients      = 8
+	soakPartsClients = 2
+	// soakPartPause is the pause of a server between two parts of an answer: longer than the time of its call, and short
+	// enough for an answer that begins when a node ends to be whole before the kill.
+	soakPartPause   = 600 * time.Millisecond
+	soakPartTimeout = 400 * time.Millisecond
 )
 
 // soakRun is one seed of the soak: a node under a crowd, which gets series of signals and is restarted.
@@ -109,10 +114,25 @@
 			reject(w, r)
 			return
 		}
+		if r.URL.Path == "/parts" {
+			serveInParts(w)
+			return
+		}
 		serveCrowd(w, r)
 	}
 }
 
+// serveInParts writes an answer over 64 KiB in chunks, with a pause behind each.
+func serveInParts(w http.ResponseWriter) {
+	for part := range 3 {
+		if part > 0 {
+			time.Sleep(soakPartPause)
+		}
+		w.Write(make([]byte, 50_000))
+		w.(http.Flusher).Flush()
+	}
+}
+
 // startCrowd starts the crowd of the seed, if it has one, and returns its name.
 func (s *soakRun) startCrowd() string {
 	var names []string
@@ -174,7 +194,7 @@
 				continue
 			}
 		}
-		if !s.request(conn, random) {
+		if !s.request(conn, random, number < soakPartsClients) {
 			conn.Close()
 			conn = nil
 		}
@@ -185,24 +205,34 @@
 	}
 }
 
-// request sends one request and records what comes of it. It reports whether the connection stays open.
-func (s *soakRun) request(conn net.Conn, random *rand.Rand) bool {
-	class, method := "status", http.MethodGet
-	if random.IntN(2) == 0 {
+// request sends one request, whose answer comes in parts if inParts is set, and records what comes of it. It reports
+// whether the connection stays open.
+func (s *soakRun) request(conn net.Conn, random *rand.Rand, inParts bool) bool {
+	class, method, path := "status", http.MethodGet, "/api"
+	switch {
+	case inParts:
+		path = "/parts"
+	case random.IntN(2) == 0:
 		class, method = "book", http.MethodPost
 	}
 	timeout := time.Duration(300+random.IntN(1000)) * time.Millisecond
+	if inParts {
+		timeout = soakPartTimeout
+	}
 	id := fmt.Sprint("soak-", lastCallID.Add(1))
 	var header strings.Builder
 	callHeader(id, class, fmt.Sprint(timeout.Seconds())).Write(&header)
 	sent := time.Now()
-	fmt.Fprintf(conn, "%s /api HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n%s\r\n", method, header.String())
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n%s\r\n", method, path, header.String())
 	conn.SetReadDeadline(sent.Add(timeout + 3*time.Second))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	took := time.Since(sent) // of a long answer, the first bytes are timed
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 	}
-	took := time.Since(sent)
+	if !inParts {
+		took = time.Since(sent)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests++
@@ -221,6 +251,9 @@
 	if err == nil {
 		record.status = resp.StatusCode
 	}
+	if err == nil && inParts && record.mayHaveRun > 0 && record.status != http.StatusOK {
+		s.broken = append(s.broken, fmt.Sprintf("lost: %s got %d while a server answered it", id, record.status))
+	}
 	return err == nil && !resp.Close
 }
 
