--- a/internal/transport/client_rejection.go
+++ b/internal/transport/client_rejection.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// evictLongestStalled closes a number of connections, those whose requests have stalled for the longest time. It reports
-// whether there is any.
+// evictLongestStalled closes a number of connections, those whose requests have stalled for the longest time. It
+// reports whether there is any.
 func (cs *clientConns) evictLongestStalled(count int) (evicted bool) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
