--- a/cmd/olivebridge/answer_in_parts_test.go
+++ b/cmd/olivebridge/answer_in_parts_test.go
@@ -56,6 +56,9 @@
 		{"within a large chunk", [3]string{chunked + "249f0\r\n" + data, data, data + "\r\n" + end}},
 		{"within a line end", [3]string{
 			chunked + size + "\r\n" + data + "\r", "\n" + size + "\r\n" + data + "\r", "\n" + chunk + end}},
+		{"trailer", [3]string{chunked + chunk, chunk + chunk + "0\r\nA: ", "b\r\n\r\n"}},
+		{"last size", [3]string{chunked + chunk, chunk + chunk + "0", "\r\n\r\n"}},
+		{"last line end", [3]string{chunked + chunk, chunk + chunk + "0\r\n\r", "\n"}},
 		cut("half a size", size[:2], size[2:]+"\r\n"),
 		cut("a size without its line end", size, "\r\n"),
 		cut("half an extension", size+";a=", "b\r\n"),
